--- /dev/null
+++ b/src/admission/admission_queue.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "document/document.h"
+#include "framework/base/clock.h"
+
+namespace catkinmoor {
+
+/// Why a request was not admitted.
+enum class refusal { kNone, kDraining, kQueueFull, kTooLate, kNoTarget };
+
+/// The name of a refusal as it stands in answers and metrics.
+const char* RefusalName(refusal reason);
+
+/// A request that asks for a slot of the target.
+struct admission_request {
+  std::uint64_t ticket = 0;
+  route_class kind = route_class::kBrowse;
+  std::string route;
+  std::int64_t concurrency = 1;
+  std::int64_t queue = 0;
+  time_point deadline{};
+};
+
+/// What to do with a request now.
+enum class admission { kRun, kWait, kRefuse };
+
+struct admission_decision {
+  admission what = admission::kRefuse;
+  refusal reason = refusal::kNone;
+
+  friend bool operator==(const admission_decision&, const admission_decision&) = default;
+};
+
+/// A waiting request whose fate is decided.
+struct admission_release {
+  std::uint64_t ticket = 0;
+  admission_decision decision;
+
+  friend bool operator==(const admission_release&, const admission_release&) = default;
+};
+
+/// Shares the target's slots among classes. Bookings come first and may wait until their deadline;
+/// the other classes are turned away as soon as the expected wait exceeds what is left of theirs.
+/// A plain state machine: time comes in as an argument, and the caller holds the lock.
+class admission_queue {
+ public:
+  /// Sets how many requests the target runs at once. Zero means that there is no target.
+  void SetSlots(std::uint32_t slots) { slots_ = slots; }
+
+  /// Turns new and waiting requests away from now on. Yields the waiting ones.
+  std::vector<admission_release> Drain();
+  void Reopen() { draining_ = false; }
+
+  admission_decision Arrive(const admission_request& request, time_point now);
+
+  /// Notes that a running request ended after a service time. Yields the waiting requests that can
+  /// run now and those that are too late.
+  std::vector<admission_release> Finish(const std::string& route, milliseconds service_time,
+                                        time_point now);
+
+  /// Yields waiting requests whose deadline passed, and those that can run after slots were added.
+  std::vector<admission_release> Advance(time_point now);
+
+  /// Forgets a waiting request whose caller went away. False when it was not waiting.
+  bool Abandon(std::uint64_t ticket);
+
+  std::uint32_t InUse() const { return in_use_; }
+  std::uint32_t Slots() const { return slots_; }
+  std::uint32_t Queued() const;
+
+ private:
+  static constexpr std::size_t kClasses = 4;
+
+  bool CanRun(const admission_request& request) const;
+  void Start(const admission_request& request);
+  double ExpectedWaitMs(route_class kind) const;
+
+  std::uint32_t slots_ = 0;
+  std::uint32_t in_use_ = 0;
+  bool draining_ = false;
+  double mean_service_ms_ = 0;
+  std::array<std::deque<admission_request>, kClasses> waiting_;
+  std::map<std::string, std::int64_t> running_by_route_;
+  std::map<std::string, std::int64_t> waiting_by_route_;
+};
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/admission/internal/admission_queue.cc
@@ -0,0 +1,135 @@
+#include "admission/admission_queue.h"
+
+#include <algorithm>
+
+namespace catkinmoor {
+namespace {
+
+constexpr double kServiceTimeWeight = 0.1;
+
+std::size_t Rank(route_class kind) { return static_cast<std::size_t>(kind); }
+
+}  // namespace
+
+const char* RefusalName(refusal reason) {
+  switch (reason) {
+    case refusal::kNone:
+      return "none";
+    case refusal::kDraining:
+      return "draining";
+    case refusal::kQueueFull:
+      return "queue-full";
+    case refusal::kTooLate:
+      return "too-late";
+    case refusal::kNoTarget:
+      break;
+  }
+  return "no-target";
+}
+
+std::vector<admission_release> admission_queue::Drain() {
+  draining_ = true;
+  std::vector<admission_release> released;
+  for (auto& line : waiting_) {
+    for (const admission_request& each : line) {
+      released.push_back({each.ticket, {admission::kRefuse, refusal::kDraining}});
+    }
+    line.clear();
+  }
+  waiting_by_route_.clear();
+  return released;
+}
+
+bool admission_queue::CanRun(const admission_request& request) const {
+  if (in_use_ >= slots_) return false;
+  const auto running = running_by_route_.find(request.route);
+  return running == running_by_route_.end() || running->second < request.concurrency;
+}
+
+void admission_queue::Start(const admission_request& request) {
+  ++in_use_;
+  ++running_by_route_[request.route];
+}
+
+double admission_queue::ExpectedWaitMs(route_class kind) const {
+  std::size_t ahead = 0;
+  for (std::size_t rank = 0; rank <= Rank(kind); ++rank) ahead += waiting_[rank].size();
+  return mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
+}
+
+admission_decision admission_queue::Arrive(const admission_request& request, time_point now) {
+  if (draining_) return {admission::kRefuse, refusal::kDraining};
+  if (slots_ == 0) return {admission::kRefuse, refusal::kNoTarget};
+  if (request.deadline <= now) return {admission::kRefuse, refusal::kTooLate};
+  const bool line_is_empty =
+      std::all_of(waiting_.begin(), waiting_.begin() + Rank(request.kind) + 1,
+                  [](const auto& line) { return line.empty(); });
+  if (line_is_empty && CanRun(request)) {
+    Start(request);
+    return {admission::kRun, refusal::kNone};
+  }
+  if (waiting_by_route_[request.route] >= request.queue) {
+    return {admission::kRefuse, refusal::kQueueFull};
+  }
+  const double left_ms = std::chrono::duration<double, std::milli>(request.deadline - now).count();
+  const bool sheds = request.kind != route_class::kBooking;
+  if (sheds && ExpectedWaitMs(request.kind) + mean_service_ms_ > left_ms) {
+    return {admission::kRefuse, refusal::kTooLate};
+  }
+  waiting_[Rank(request.kind)].push_back(request);
+  ++waiting_by_route_[request.route];
+  return {admission::kWait, refusal::kNone};
+}
+
+std::vector<admission_release> admission_queue::Finish(const std::string& route,
+                                                       milliseconds service_time, time_point now) {
+  if (in_use_ > 0) --in_use_;
+  const auto running = running_by_route_.find(route);
+  if (running != running_by_route_.end() && --running->second <= 0) {
+    running_by_route_.erase(running);
+  }
+  const auto sample = static_cast<double>(service_time.count());
+  mean_service_ms_ += kServiceTimeWeight * (sample - mean_service_ms_);
+  return Advance(now);
+}
+
+std::vector<admission_release> admission_queue::Advance(time_point now) {
+  std::vector<admission_release> released;
+  for (auto& line : waiting_) {
+    for (auto next = line.begin(); next != line.end();) {
+      const bool late = next->deadline <= now;
+      if (!late && !CanRun(*next)) {
+        ++next;
+        continue;
+      }
+      if (!late) Start(*next);
+      --waiting_by_route_[next->route];
+      released.push_back(
+          {next->ticket, late ? admission_decision{admission::kRefuse, refusal::kTooLate}
+                              : admission_decision{admission::kRun, refusal::kNone}});
+      next = line.erase(next);
+    }
+  }
+  return released;
+}
+
+bool admission_queue::Abandon(std::uint64_t ticket) {
+  for (auto& line : waiting_) {
+    const auto found = std::find_if(line.begin(), line.end(), [&](const admission_request& each) {
+      return each.ticket == ticket;
+    });
+    if (found == line.end()) continue;
+    --waiting_by_route_[found->route];
+    line.erase(found);
+    return true;
+  }
+  return false;
+}
+
+std::uint32_t admission_queue::Queued() const {
+  std::size_t queued = 0;
+  for (const auto& line : waiting_) queued += line.size();
+  return static_cast<std::uint32_t>(queued);
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/app_catkin_platform/main.cc
@@ -0,0 +1,40 @@
+// Stand-in for the platform's table and object store.
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+#include "framework/base/endpoint.h"
+#include "framework/http/server.h"
+#include "framework/logging/log.h"
+#include "stand_in/platform_stand_in.h"
+
+int main(int argc, char** argv) {
+  CLI::App app("catkin_platform: stand-in for the platform's table and object store");
+  std::string address = "127.0.0.1:9100";
+  app.add_option("--listen", address, "Where to listen, as address:port");
+  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.footer("Example: catkin_platform --listen 127.0.0.1:9100");
+  CLI11_PARSE(app, argc, argv);
+  catkinmoor::logging::Start("catkin_platform", false);
+  auto where = catkinmoor::ParseEndpoint(address);
+  if (!catkinmoor::Ok(where)) {
+    std::cerr << catkinmoor::Describe(catkinmoor::Failure(where)) << "\n";
+    return 2;
+  }
+  boost::asio::io_context context(1);
+  catkinmoor::platform_stand_in platform(context);
+  catkinmoor::http::server server(
+      context, {.body_bytes = 8U << 20U},
+      [&](catkinmoor::http::request message) { return platform.Answer(std::move(message)); });
+  const auto bound = server.Listen(catkinmoor::Value(where));
+  if (!catkinmoor::Ok(bound)) {
+    std::cerr << catkinmoor::Describe(catkinmoor::Failure(bound)) << "\n";
+    return 1;
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
+  context.run();
+  return 0;
+}
--- /dev/null
+++ b/src/app_catkinmoord/main.cc
@@ -0,0 +1,54 @@
+// The daemon of one vm.
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "daemon/daemon.h"
+#include "framework/logging/log.h"
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitSettings = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("catkinmoord: entry, gate, exit and distribution of one vm");
+  std::string path;
+  bool check = false;
+  bool print = false;
+  bool reference = false;
+  app.add_option("--settings", path, "Settings file, JSON with comments");
+  app.add_flag("--check-settings", check, "Check the settings and exit");
+  app.add_flag("--print-settings", print, "Print the settings in force and exit");
+  app.add_flag("--settings-reference", reference, "Print every setting as Markdown and exit");
+  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.footer("Example: catkinmoord --settings examples/catkinmoord.json");
+  CLI11_PARSE(app, argc, argv);
+  if (reference) {
+    std::cout << catkinmoor::DaemonSettingsReference();
+    return 0;
+  }
+  auto text = catkinmoor::json::ReadFile(path);
+  if (!catkinmoor::Ok(text)) {
+    std::cerr << catkinmoor::Describe(catkinmoor::Failure(text)) << "\n";
+    return kExitSettings;
+  }
+  auto parsed = catkinmoor::ParseDaemonSettings(catkinmoor::Value(text));
+  if (const auto* problems = std::get_if<catkinmoor::json::problems>(&parsed)) {
+    std::cerr << path << ":\n" << catkinmoor::json::Describe(*problems) << "\n";
+    return kExitSettings;
+  }
+  auto& settings = std::get<catkinmoor::daemon_settings>(parsed);
+  if (print) std::cout << catkinmoor::PrintDaemonSettings(settings);
+  if (print || check) return 0;
+  std::signal(SIGPIPE, SIG_IGN);
+  catkinmoor::logging::Start("catkinmoord", settings.verbose);
+  catkinmoor::catkinmoor_daemon daemon(settings);
+  const auto outcome = daemon.Run();
+  if (catkinmoor::Ok(outcome)) return 0;
+  catkinmoor::logging::Warning("cannot run", catkinmoor::Failure(outcome));
+  return kExitFailed;
+}
--- /dev/null
+++ b/src/daemon/daemon_settings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "administration/team_registry.h"
+#include "distribution/distribution_settings.h"
+#include "framework/json/field_table.h"
+#include "proxy/proxy_settings.h"
+
+namespace catkinmoor {
+
+/// Everything that a daemon is told at its start.
+struct daemon_settings {
+  std::string vm;
+  std::string region;
+  std::string data_centre;
+  std::string address;
+  std::int64_t entry_port = 8080;
+  std::int64_t exit_port = 8081;
+  std::int64_t gate_port = 9001;
+  std::int64_t control_port = 9002;
+  std::int64_t administration_port = 9003;
+  std::int64_t local_port = 9004;
+  std::string platform;
+  milliseconds platform_timeout{2'000};
+  std::vector<std::string> seed_peers;
+  std::int64_t workers = 2;
+  milliseconds target_lease{3'000};
+  milliseconds drain_notice{1'000};
+  milliseconds drain_timeout{30'000};
+  std::string token_key;
+  std::vector<team_entry> teams;
+  distribution_settings distribution;
+  proxy_settings proxy;
+  bool verbose = false;
+};
+
+/// The table that binds the settings to JSON.
+std::span<const json::field<daemon_settings>> DaemonSettingsFields();
+
+/// Reads settings. All faults are reported in one pass, each with its place.
+std::variant<daemon_settings, json::problems> ParseDaemonSettings(std::string_view text);
+
+/// The settings as JSON text, tokens' hashes included.
+std::string PrintDaemonSettings(const daemon_settings& settings);
+
+/// A Markdown table of every setting with its default and meaning.
+std::string DaemonSettingsReference();
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/distribution/internal/membership_controller.cc
@@ -0,0 +1,180 @@
+#include "distribution/membership_controller.h"
+
+#include <bit>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "framework/logging/log.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
+constexpr std::size_t kHelpers = 2;
+constexpr std::size_t kRelays = 2;
+constexpr milliseconds kTombstoneAge{24L * 3600 * 1000};
+
+}  // namespace
+
+membership_controller::membership_controller(asio::io_context& context, distribution_board board,
+                                             peer_client& peers, record_exchange& exchange,
+                                             distribution_settings settings, std::uint64_t seed)
+    : context_(context),
+      board_(board),
+      peers_(peers),
+      exchange_(exchange),
+      settings_(std::move(settings)),
+      detector_(board.self.Get().vm, {.suspicion = settings_.suspicion}),
+      random_(seed),
+      timer_(context) {
+  exchange_.SetMemberListener([this](const member_record& record) {
+    if (record.version.state != member_state::kSuspect) return;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    detector_.OnSuspected(record, Now());
+  });
+}
+
+void membership_controller::Stop() {
+  stopping_ = true;
+  asio::post(context_, [this] { timer_.cancel(); });
+}
+
+asio::awaitable<void> membership_controller::Run() {
+  while (!stopping_) {
+    // Intervals between 80% and 120% keep daemons that started together from staying in step.
+    const auto percent = static_cast<std::int64_t>(80 + Draw(41));
+    timer_.expires_after(settings_.probe_interval * percent / 100);
+    co_await timer_.async_wait(kAwait);
+    if (stopping_) co_return;
+    asio::co_spawn(context_, ProbeOnce(), asio::detached);
+    asio::co_spawn(context_, CompareWithFinger(), asio::detached);
+    asio::co_spawn(context_, CompareWithOtherPlace(), asio::detached);
+    co_await exchange_.SeekWitness();
+    std::vector<detector_verdict> verdicts;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      verdicts = detector_.Expire(board_.members, Now());
+    }
+    State(verdicts);
+    board_.members.Purge(Now(), kTombstoneAge);
+  }
+}
+
+std::size_t membership_controller::Draw(std::size_t count) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+}
+
+probe_request membership_controller::MakeProbe() const {
+  return {board_.self.Get().vm, exchange_.DocumentHash(), exchange_.MemberHash(), ""};
+}
+
+void membership_controller::State(const std::vector<detector_verdict>& verdicts) {
+  for (const detector_verdict& verdict : verdicts) {
+    const member_ptr held = board_.members.Find(verdict.vm);
+    if (held == nullptr || held->version >= verdict.about) continue;
+    member_record stated = *held;
+    stated.version = verdict.about;
+    logging::Info("member state", {{"vm", verdict.vm}, {"state", StateName(verdict.about.state)}});
+    exchange_.StateMember(stated);
+  }
+}
+
+asio::awaitable<void> membership_controller::ProbeOnce() {
+  member_ptr member;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    member = detector_.NextToProbe(*board_.members.View(), board_.self.Get().data_centre);
+  }
+  if (member == nullptr) co_return;
+  auto reply = co_await peers_.Probe(member->control, MakeProbe(), settings_.probe_timeout);
+  bool reached = Ok(reply);
+  if (!reached) reached = co_await ReachThroughHelpers(*member);
+  if (!reached) {
+    std::vector<detector_verdict> verdicts;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const member_ptr present = board_.members.Find(member->vm);
+      if (present != nullptr) verdicts = detector_.OnNoAnswer(*present, Now());
+    }
+    State(verdicts);
+    co_return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    detector_.OnAnswer(member->vm);
+  }
+  if (!Ok(reply)) co_return;
+  const bool same = Value(reply).document_hash == exchange_.DocumentHash() &&
+                    Value(reply).member_hash == exchange_.MemberHash();
+  if (!same) co_await exchange_.Reconcile(*member);
+}
+
+asio::awaitable<bool> membership_controller::ReachThroughHelpers(member_record member) {
+  std::vector<member_ptr> helpers;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    helpers = detector_.Helpers(*board_.members.View(), member, kHelpers);
+  }
+  for (const member_ptr& helper : helpers) {
+    probe_request message = MakeProbe();
+    message.on_behalf_of = member.vm;
+    // The helper needs time for its own probe.
+    auto reply = co_await peers_.Probe(helper->control, message, settings_.probe_timeout * 2);
+    if (Ok(reply) && Value(reply).reached) co_return true;
+  }
+  co_return false;
+}
+
+asio::awaitable<void> membership_controller::CompareWithFinger() {
+  const member_record self = board_.self.Get();
+  const auto ring = Successors(*board_.members.View(), self.data_centre, self.vm, SIZE_MAX);
+  if (ring.empty()) co_return;
+  const std::size_t power = Draw(static_cast<std::size_t>(std::bit_width(ring.size())));
+  const member_ptr finger = ring[(std::size_t{1} << power) - 1];
+  co_await ReconcileIfDifferent(*finger, settings_.probe_timeout);
+}
+
+asio::awaitable<void> membership_controller::CompareWithOtherPlace() {
+  const member_record self = board_.self.Get();
+  const auto view = board_.members.View();
+  const auto relays = Relays(*view, self.data_centre, kRelays);
+  const bool relay = std::any_of(relays.begin(), relays.end(),
+                                 [&](const member_ptr& each) { return each->vm == self.vm; });
+  if (!relay) co_return;
+  std::vector<member_ptr> others;
+  for (const auto& [data_centre, members] : view->data_centres) {
+    if (data_centre == self.data_centre) continue;
+    for (const member_ptr& each : Relays(*view, data_centre, kRelays)) others.push_back(each);
+  }
+  if (others.empty()) co_return;
+  co_await ReconcileIfDifferent(*others[Draw(others.size())], settings_.spread_timeout);
+}
+
+asio::awaitable<void> membership_controller::ReconcileIfDifferent(member_record member,
+                                                                  milliseconds timeout) {
+  auto reply = co_await peers_.Probe(member.control, MakeProbe(), timeout);
+  if (!Ok(reply)) co_return;
+  const bool same = Value(reply).document_hash == exchange_.DocumentHash() &&
+                    Value(reply).member_hash == exchange_.MemberHash();
+  if (!same) co_await exchange_.Reconcile(member);
+}
+
+asio::awaitable<probe_reply> membership_controller::OnProbe(probe_request message) {
+  probe_reply reply{true, exchange_.DocumentHash(), exchange_.MemberHash()};
+  if (!message.on_behalf_of.empty()) {
+    const member_ptr member = board_.members.Find(message.on_behalf_of);
+    reply.reached = false;
+    if (member != nullptr) {
+      auto answer = co_await peers_.Probe(member->control, MakeProbe(), settings_.probe_timeout);
+      reply.reached = Ok(answer);
+    }
+  }
+  co_return reply;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/distribution/internal/record_exchange.cc
@@ -0,0 +1,361 @@
+#include "distribution/record_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+
+#include "framework/logging/log.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kTransferBytes = 1U << 20U;
+constexpr std::size_t kTransferMembers = 2'000;
+constexpr milliseconds kReconcileTimeout{3'000};
+
+bool HasNews(const spread_request& message) {
+  return !message.documents.empty() || !message.members.empty();
+}
+
+/// Takes the next run of records off a long transfer, so that no message grows too large.
+transfer_request TakeChunk(transfer_request& rest) {
+  transfer_request chunk;
+  chunk.sender = rest.sender;
+  chunk.sender_data_centre = rest.sender_data_centre;
+  std::size_t bytes = 0;
+  while (!rest.documents.empty() && bytes < kTransferBytes) {
+    bytes += rest.documents.back().text.size();
+    chunk.documents.push_back(std::move(rest.documents.back()));
+    rest.documents.pop_back();
+  }
+  const auto take = [](auto& from, auto& to, std::size_t count) {
+    for (; !from.empty() && to.size() < count;) {
+      to.push_back(std::move(from.back()));
+      from.pop_back();
+    }
+  };
+  take(rest.members, chunk.members, kTransferMembers);
+  take(rest.wanted_members, chunk.wanted_members, kTransferMembers);
+  take(rest.wanted_documents, chunk.wanted_documents, kTransferBytes / kDocumentBytes);
+  return chunk;
+}
+
+bool IsEmpty(const transfer_request& message) {
+  return message.documents.empty() && message.members.empty() && message.wanted_documents.empty() &&
+         message.wanted_members.empty();
+}
+
+}  // namespace
+
+record_exchange::record_exchange(asio::io_context& context, distribution_board board,
+                                 peer_client& peers, spread_strategy& strategy,
+                                 distribution_settings settings)
+    : context_(context),
+      board_(board),
+      peers_(peers),
+      strategy_(strategy),
+      settings_(std::move(settings)) {}
+
+std::uint64_t record_exchange::DocumentHash() const {
+  std::uint64_t hash = 0;
+  for (std::size_t i = 0; i < document_board::kBuckets; ++i) {
+    hash ^= board_.documents.BucketHash(i);
+  }
+  return hash;
+}
+
+std::uint64_t record_exchange::MemberHash() const {
+  std::uint64_t hash = 0;
+  for (std::size_t i = 0; i < member_table::kBuckets; ++i) hash ^= board_.members.BucketHash(i);
+  return hash;
+}
+
+spread_request record_exchange::MakeSpread(const spread_scope& scope) const {
+  const member_record self = board_.self.Get();
+  return {self.vm, self.data_centre, scope, {}, {}};
+}
+
+void record_exchange::SpreadDocuments(std::vector<document_version> documents, spread_reach reach) {
+  spread_request message = MakeSpread({reach, ""});
+  message.documents = std::move(documents);
+  Hand(std::move(message));
+}
+
+void record_exchange::StateMember(const member_record& record) {
+  if (MergeMember(record)) QueueMember(record);
+}
+
+void record_exchange::StateSelf() { StateMember(board_.self.Get()); }
+
+bool record_exchange::MergeMember(const member_record& record) {
+  const member_record self = board_.self.Get();
+  if (record.vm == self.vm && record.version != self.version) {
+    if (board_.self.Refute(record.version)) {
+      logging::Info("refuted", {{"stated", StateName(record.version.state)}});
+      asio::post(context_, [this] { StateSelf(); });
+    }
+    return false;
+  }
+  if (board_.members.Merge(record) != merge_outcome::kNews) return false;
+  if (on_member_) on_member_(record);
+  return true;
+}
+
+record_exchange::news record_exchange::Merge(const std::vector<document_version>& documents,
+                                             const std::vector<member_record>& members,
+                                             bool witnessed, std::vector<std::string>* refused) {
+  news fresh;
+  for (const document_version& each : documents) {
+    const offer_outcome outcome = board_.documents.Offer(each, witnessed);
+    if (outcome == offer_outcome::kNews) fresh.documents.push_back(each);
+    if (outcome == offer_outcome::kRefused) {
+      logging::Warning("document refused", {{"service", each.service},
+                                            {"version", static_cast<std::int64_t>(each.version)}});
+      if (refused != nullptr) refused->push_back(each.service);
+    }
+  }
+  for (const member_record& each : members) {
+    if (MergeMember(each)) fresh.members.push_back(each);
+  }
+  return fresh;
+}
+
+void record_exchange::QueueMember(const member_record& record) {
+  const std::lock_guard<std::mutex> lock(queue_mutex_);
+  queued_members_.push_back(record);
+  if (queued_members_.size() > 1) return;
+  auto timer = std::make_shared<asio::steady_timer>(context_, settings_.member_batch);
+  timer->async_wait([this, timer](const boost::system::error_code&) { FlushMembers(); });
+}
+
+void record_exchange::FlushMembers() {
+  spread_request message = MakeSpread({spread_reach::kDataCentre, ""});
+  {
+    const std::lock_guard<std::mutex> lock(queue_mutex_);
+    message.members.swap(queued_members_);
+  }
+  const bool relay = IsFirstRelay(*board_.members.View(), board_.self.Get());
+  if (relay) message.scope.reach = spread_reach::kWorld;
+  Hand(std::move(message));
+}
+
+bool record_exchange::IsFirstRelay(const member_view& view, const member_record& self) const {
+  const auto relays = Relays(view, self.data_centre, 1);
+  return !relays.empty() && relays.front()->vm == self.vm;
+}
+
+void record_exchange::Hand(spread_request message) {
+  if (!HasNews(message)) return;
+  const member_record self = board_.self.Get();
+  const auto hops = strategy_.Plan(*board_.members.View(), self, message.scope);
+  message.sender = self.vm;
+  message.sender_data_centre = self.data_centre;
+  for (const spread_hop& hop : hops) {
+    asio::co_spawn(context_, SendHop(hop, message), asio::detached);
+  }
+  const bool alone = Successors(*board_.members.View(), self.data_centre, self.vm, 1).empty();
+  if (alone) board_.documents.WitnessAll();
+}
+
+asio::awaitable<void> record_exchange::SendHop(spread_hop hop, spread_request message) {
+  const std::string own_data_centre = message.sender_data_centre;
+  for (const auto& candidate : hop.candidates) {
+    message.scope = candidate.scope;
+    auto reply =
+        co_await peers_.Spread(candidate.member->control, message, settings_.spread_timeout);
+    if (!Ok(reply)) {
+      board_.metrics.Count("catkinmoor_spread_failures_total");
+      continue;
+    }
+    if (candidate.member->data_centre != own_data_centre) co_return;
+    const auto& refused = Value(reply).refused_services;
+    for (const document_version& each : message.documents) {
+      const bool taken = std::find(refused.begin(), refused.end(), each.service) == refused.end();
+      if (taken) board_.documents.Witness(each.service, each.version);
+    }
+    co_return;
+  }
+}
+
+asio::awaitable<spread_reply> record_exchange::OnSpread(spread_request message) {
+  const member_record self = board_.self.Get();
+  spread_reply reply;
+  const bool witnessed = message.sender_data_centre == self.data_centre;
+  news fresh = Merge(message.documents, message.members, witnessed, &reply.refused_services);
+  // Members of this data centre are carried outwards by its first relay alone.
+  if (message.scope.reach == spread_reach::kSegment && IsFirstRelay(*board_.members.View(), self)) {
+    spread_request outwards = MakeSpread({spread_reach::kWorld, ""});
+    for (const member_record& each : fresh.members) {
+      if (each.data_centre == self.data_centre) outwards.members.push_back(each);
+    }
+    Hand(std::move(outwards));
+  }
+  if (!strategy_.ForwardsHeld()) {
+    message.documents = std::move(fresh.documents);
+    message.members = std::move(fresh.members);
+  }
+  Hand(std::move(message));
+  co_return reply;
+}
+
+asio::awaitable<compare_reply> record_exchange::OnCompare(compare_request message) {
+  compare_reply reply;
+  for (std::uint32_t i = 0; i < message.document_buckets.size(); ++i) {
+    if (i >= document_board::kBuckets) break;
+    if (board_.documents.BucketHash(i) == message.document_buckets[i]) continue;
+    reply.document_buckets.push_back(i);
+    for (const active_document_ptr& each : board_.documents.HeldIn(i)) {
+      reply.documents.push_back({each->source.service, each->source.version, each->source.digest});
+    }
+  }
+  std::vector<bool> differs(member_table::kBuckets, false);
+  for (std::uint32_t i = 0; i < message.member_buckets.size(); ++i) {
+    if (i >= member_table::kBuckets) break;
+    if (board_.members.BucketHash(i) == message.member_buckets[i]) continue;
+    reply.member_buckets.push_back(i);
+    differs[i] = true;
+  }
+  if (!reply.member_buckets.empty()) {
+    for (const auto& [vm, record] : board_.members.View()->all) {
+      if (differs[member_table::BucketOf(vm)]) reply.members.push_back({vm, record->version});
+    }
+  }
+  co_return reply;
+}
+
+transfer_request record_exchange::Difference(const compare_reply& theirs) const {
+  transfer_request difference;
+  std::map<std::string, std::uint64_t> their_documents;
+  for (const document_summary& each : theirs.documents) {
+    their_documents[each.service] = each.version;
+    const auto held = board_.documents.Held(each.service);
+    if (held == nullptr || held->source.version < each.version) {
+      difference.wanted_documents.push_back(each.service);
+    }
+  }
+  for (const std::uint32_t bucket : theirs.document_buckets) {
+    if (bucket >= document_board::kBuckets) continue;
+    for (const active_document_ptr& each : board_.documents.HeldIn(bucket)) {
+      const auto found = their_documents.find(each->source.service);
+      const bool newer = found == their_documents.end() || found->second < each->source.version;
+      if (newer) difference.documents.push_back(each->source);
+    }
+  }
+  std::map<std::string, member_version> their_members;
+  const auto view = board_.members.View();
+  for (const member_summary& each : theirs.members) {
+    their_members[each.vm] = each.version;
+    const auto held = view->all.find(each.vm);
+    const bool newer = held == view->all.end() || held->second->version < each.version;
+    if (newer) difference.wanted_members.push_back(each.vm);
+  }
+  std::vector<bool> differs(member_table::kBuckets, false);
+  for (const std::uint32_t bucket : theirs.member_buckets) {
+    if (bucket < member_table::kBuckets) differs[bucket] = true;
+  }
+  for (const auto& [vm, record] : view->all) {
+    if (!differs[member_table::BucketOf(vm)]) continue;
+    const auto found = their_members.find(vm);
+    const bool newer = found == their_members.end() || found->second < record->version;
+    if (newer) difference.members.push_back(*record);
+  }
+  return difference;
+}
+
+asio::awaitable<result<done>> record_exchange::Reconcile(member_record peer) {
+  return ReconcileWith(peer.control, peer.data_centre);
+}
+
+asio::awaitable<result<done>> record_exchange::ReconcileWith(endpoint control,
+                                                             std::string data_centre) {
+  const member_record self = board_.self.Get();
+  compare_request question;
+  question.sender = self.vm;
+  for (std::size_t i = 0; i < document_board::kBuckets; ++i) {
+    question.document_buckets.push_back(board_.documents.BucketHash(i));
+  }
+  for (std::size_t i = 0; i < member_table::kBuckets; ++i) {
+    question.member_buckets.push_back(board_.members.BucketHash(i));
+  }
+  auto theirs = co_await peers_.Compare(control, std::move(question), kReconcileTimeout);
+  if (!Ok(theirs)) co_return Failure(theirs);
+  transfer_request rest = Difference(Value(theirs));
+  rest.sender = self.vm;
+  rest.sender_data_centre = self.data_centre;
+  const bool neighbour = data_centre == self.data_centre;
+  news fresh;
+  while (!IsEmpty(rest)) {
+    const transfer_request chunk = TakeChunk(rest);
+    auto reply = co_await peers_.Transfer(control, chunk, kReconcileTimeout);
+    if (!Ok(reply)) co_return Failure(reply);
+    const news learnt = Merge(Value(reply).documents, Value(reply).members, neighbour, nullptr);
+    fresh.documents.insert(fresh.documents.end(), learnt.documents.begin(), learnt.documents.end());
+    fresh.members.insert(fresh.members.end(), learnt.members.begin(), learnt.members.end());
+    if (!neighbour) continue;
+    for (const document_version& each : chunk.documents) {
+      board_.documents.Witness(each.service, each.version);
+    }
+  }
+  if (neighbour) {
+    // Both sides hold the same now, so the peer is a witness for everything held before.
+    for (const active_document_ptr& each : board_.documents.Unwitnessed()) {
+      const bool theirs_too =
+          std::none_of(Value(theirs).document_buckets.begin(), Value(theirs).document_buckets.end(),
+                       [&](std::uint32_t bucket) {
+                         return bucket == document_board::BucketOf(each->source.service);
+                       });
+      if (theirs_too) board_.documents.Witness(each->source.service, each->source.version);
+    }
+  } else if (!fresh.documents.empty() || !fresh.members.empty()) {
+    spread_request message = MakeSpread({spread_reach::kRegion, ""});
+    message.documents = std::move(fresh.documents);
+    message.members = std::move(fresh.members);
+    Hand(std::move(message));
+  }
+  co_return done{};
+}
+
+asio::awaitable<void> record_exchange::SeekWitness() {
+  if (board_.documents.Unwitnessed().empty()) co_return;
+  const member_record self = board_.self.Get();
+  const auto next = Successors(*board_.members.View(), self.data_centre, self.vm, 3);
+  if (next.empty()) board_.documents.WitnessAll();
+  for (const member_ptr& each : next) {
+    const auto reconciled = co_await Reconcile(*each);
+    if (Ok(reconciled)) co_return;
+  }
+}
+
+transfer_reply record_exchange::Collect(const std::vector<std::string>& documents,
+                                        const std::vector<std::string>& members) const {
+  transfer_reply reply;
+  for (const std::string& service : documents) {
+    const auto held = board_.documents.Held(service);
+    if (held != nullptr) reply.documents.push_back(held->source);
+  }
+  for (const std::string& vm : members) {
+    const auto record = board_.members.Find(vm);
+    if (record != nullptr) reply.members.push_back(*record);
+  }
+  return reply;
+}
+
+asio::awaitable<transfer_reply> record_exchange::OnTransfer(transfer_request message) {
+  const member_record self = board_.self.Get();
+  const bool neighbour = message.sender_data_centre == self.data_centre;
+  news fresh = Merge(message.documents, message.members, neighbour, nullptr);
+  if (!neighbour) {
+    spread_request onwards = MakeSpread({spread_reach::kRegion, ""});
+    onwards.documents = std::move(fresh.documents);
+    onwards.members = std::move(fresh.members);
+    Hand(std::move(onwards));
+  }
+  co_return Collect(message.wanted_documents, message.wanted_members);
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/distribution/internal/spread_plan.cc
@@ -0,0 +1,123 @@
+#include "distribution/spread_plan.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "framework/base/digest.h"
+
+namespace catkinmoor {
+namespace {
+
+constexpr std::size_t kCandidates = 3;
+constexpr std::uint64_t kRelaySeed = 2;
+constexpr std::uint64_t kReaderSeed = 3;
+
+std::vector<member_ptr> RankedByHash(std::vector<member_ptr> members, std::uint64_t seed,
+                                     std::size_t count) {
+  const auto rank = [&](const member_ptr& each) {
+    // A suspect still counts, behind every member that is not suspected.
+    return std::tuple(each->version.state, StableHash(each->vm, seed), each->vm);
+  };
+  std::sort(members.begin(), members.end(),
+            [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+  if (members.size() > count) members.resize(count);
+  return members;
+}
+
+/// The members after self on its ring, in order, up to and including the last one.
+std::vector<member_ptr> SegmentAfter(const member_view& view, const member_record& self,
+                                     const std::string& last) {
+  auto members = Successors(view, self.data_centre, self.vm, SIZE_MAX);
+  const std::uint64_t start = RingPosition(self.vm);
+  const std::uint64_t length = RingPosition(last) - start;
+  const auto beyond = std::partition_point(
+      members.begin(), members.end(),
+      [&](const member_ptr& each) { return RingPosition(each->vm) - start <= length; });
+  members.erase(beyond, members.end());
+  return members;
+}
+
+/// Hands a run of ring members on in parts whose sizes are powers of two.
+void PlanSegment(const std::vector<member_ptr>& members, std::vector<spread_hop>& hops) {
+  if (members.empty()) return;
+  std::size_t end = members.size();
+  for (std::size_t begin = std::bit_floor(end); begin >= 1; begin /= 2) {
+    spread_hop hop;
+    for (std::size_t i = begin - 1; i < end && hop.candidates.size() < kCandidates; ++i) {
+      const spread_scope scope{spread_reach::kSegment, members[end - 1]->vm};
+      hop.candidates.push_back({members[i], scope});
+    }
+    hops.push_back(std::move(hop));
+    end = begin - 1;
+  }
+}
+
+void PlanRelay(const std::vector<member_ptr>& relays, spread_reach reach,
+               std::vector<spread_hop>& hops) {
+  if (relays.empty()) return;
+  spread_hop hop;
+  for (const member_ptr& each : relays) hop.candidates.push_back({each, {reach, ""}});
+  hops.push_back(std::move(hop));
+}
+
+void PlanOtherRegions(const member_view& view, const member_record& self,
+                      std::vector<spread_hop>& hops) {
+  for (const auto& [region, data_centres] : view.regions) {
+    if (region == self.region || data_centres.empty()) continue;
+    std::vector<member_ptr> candidates;
+    for (const std::string& data_centre : data_centres) {
+      for (const member_ptr& relay : Relays(view, data_centre, kCandidates)) {
+        candidates.push_back(relay);
+      }
+    }
+    PlanRelay(RankedByHash(std::move(candidates), kRelaySeed, kCandidates), spread_reach::kRegion,
+              hops);
+  }
+}
+
+void PlanOtherDataCentres(const member_view& view, const member_record& self,
+                          std::vector<spread_hop>& hops) {
+  const auto own = view.regions.find(self.region);
+  if (own == view.regions.end()) return;
+  for (const std::string& data_centre : own->second) {
+    if (data_centre == self.data_centre) continue;
+    PlanRelay(Relays(view, data_centre, kCandidates), spread_reach::kDataCentre, hops);
+  }
+}
+
+}  // namespace
+
+std::vector<spread_hop> PlanSpread(const member_view& view, const member_record& self,
+                                   const spread_scope& scope) {
+  std::vector<spread_hop> hops;
+  if (scope.reach == spread_reach::kWorld) PlanOtherRegions(view, self, hops);
+  if (scope.reach == spread_reach::kWorld || scope.reach == spread_reach::kRegion) {
+    PlanOtherDataCentres(view, self, hops);
+  }
+  const bool whole_ring = scope.reach != spread_reach::kSegment;
+  PlanSegment(whole_ring ? Successors(view, self.data_centre, self.vm, SIZE_MAX)
+                         : SegmentAfter(view, self, scope.last),
+              hops);
+  return hops;
+}
+
+std::vector<member_ptr> Relays(const member_view& view, const std::string& data_centre,
+                               std::size_t count) {
+  const auto found = view.data_centres.find(data_centre);
+  if (found == view.data_centres.end()) return {};
+  return RankedByHash(found->second, kRelaySeed, count);
+}
+
+std::vector<member_ptr> Readers(const member_view& view, const std::string& region,
+                                std::size_t count) {
+  std::vector<member_ptr> members;
+  const auto own = view.regions.find(region);
+  if (own == view.regions.end()) return members;
+  for (const std::string& data_centre : own->second) {
+    const auto& present = view.data_centres.at(data_centre);
+    members.insert(members.end(), present.begin(), present.end());
+  }
+  return RankedByHash(std::move(members), kReaderSeed, count);
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/distribution/internal/status_controller.cc
@@ -0,0 +1,151 @@
+#include "distribution/status_controller.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/deferred.hpp>
+#include <boost/asio/experimental/parallel_group.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "framework/base/digest.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kLaggards = 5;
+constexpr milliseconds kHopTime{50};
+constexpr milliseconds kLeastBudget{100};
+
+std::uint64_t Identity(const std::string& vm) { return StableHash(vm, 4); }
+
+/// Counts members that this daemon knows and that the report did not cover, and tells when the
+/// report counts the right number but not the right members.
+void AddUnheard(gather_reply& report, const member_view& view) {
+  for (const auto& [name, members] : view.data_centres) {
+    AddStatus(report, {members.front()->region, name, 0, 0, 0, 0, 0, {}});
+    auto& status = *std::find_if(report.data_centres.begin(), report.data_centres.end(),
+                                 [&](const auto& each) { return each.data_centre == name; });
+    std::uint64_t identities = 0;
+    for (const member_ptr& each : members) identities += Identity(each->vm);
+    if (identities == status.identities) continue;
+    const std::size_t heard = status.in_force + status.behind + status.refused;
+    status.unheard += heard < members.size() ? members.size() - heard : 1;
+  }
+}
+
+}  // namespace
+
+void AddStatus(gather_reply& to, const data_centre_status& from) {
+  auto found = std::find_if(to.data_centres.begin(), to.data_centres.end(),
+                            [&](const auto& each) { return each.data_centre == from.data_centre; });
+  if (found == to.data_centres.end()) {
+    to.data_centres.push_back({from.region, from.data_centre, 0, 0, 0, 0, 0, {}});
+    found = std::prev(to.data_centres.end());
+  }
+  found->in_force += from.in_force;
+  found->behind += from.behind;
+  found->refused += from.refused;
+  found->unheard += from.unheard;
+  found->identities += from.identities;
+  for (const laggard& each : from.laggards) {
+    if (found->laggards.size() < kLaggards) found->laggards.push_back(each);
+  }
+}
+
+bool InForceEverywhere(const gather_reply& report) {
+  return !report.data_centres.empty() &&
+         std::all_of(report.data_centres.begin(), report.data_centres.end(), [](const auto& each) {
+           return each.behind == 0 && each.refused == 0 && each.unheard == 0;
+         });
+}
+
+status_controller::status_controller(distribution_board board, peer_client& peers)
+    : board_(board), peers_(peers) {}
+
+data_centre_status status_controller::Own(const std::string& service, std::uint64_t version) const {
+  const member_record self = board_.self.Get();
+  data_centre_status status{self.region, self.data_centre, 0, 0, 0, 0, Identity(self.vm), {}};
+  const auto in_force = board_.documents.InForce(service);
+  if (in_force != nullptr && in_force->source.version >= version) {
+    status.in_force = 1;
+    return status;
+  }
+  for (const refused_version& each : board_.documents.Refusals()) {
+    if (each.service != service || each.version < version) continue;
+    status.refused = 1;
+    status.laggards.push_back({self.vm, "refused: " + each.reason});
+    return status;
+  }
+  status.behind = 1;
+  const std::uint64_t present = in_force == nullptr ? 0 : in_force->source.version;
+  status.laggards.push_back({self.vm, "has version " + std::to_string(present)});
+  return status;
+}
+
+asio::awaitable<gather_reply> status_controller::Status(std::string service, std::uint64_t version,
+                                                        milliseconds budget) {
+  gather_request message;
+  message.sender = board_.self.Get().vm;
+  message.scope = {spread_reach::kWorld, ""};
+  message.service = std::move(service);
+  message.version = version;
+  message.budget = budget;
+  gather_reply report = co_await OnGather(std::move(message));
+  AddUnheard(report, *board_.members.View());
+  std::sort(report.data_centres.begin(), report.data_centres.end(),
+            [](const auto& left, const auto& right) {
+              return std::pair(left.region, left.data_centre) <
+                     std::pair(right.region, right.data_centre);
+            });
+  co_return report;
+}
+
+asio::awaitable<gather_reply> status_controller::OnGather(gather_request message) {
+  gather_reply report;
+  AddStatus(report, Own(message.service, message.version));
+  const member_record self = board_.self.Get();
+  const auto hops = PlanSpread(*board_.members.View(), self, message.scope);
+  if (hops.empty()) co_return report;
+  message.sender = self.vm;
+  message.budget = std::max(message.budget - kHopTime, kLeastBudget);
+  const auto executor = co_await asio::this_coro::executor;
+  using operation =
+      decltype(asio::co_spawn(executor, AskHop(hops.front(), message), asio::deferred));
+  std::vector<operation> operations;
+  for (const spread_hop& hop : hops) {
+    operations.push_back(asio::co_spawn(executor, AskHop(hop, message), asio::deferred));
+  }
+  auto [order, failures, replies] =
+      co_await asio::experimental::make_parallel_group(std::move(operations))
+          .async_wait(asio::experimental::wait_for_all(), asio::use_awaitable);
+  for (const gather_reply& reply : replies) {
+    for (const data_centre_status& each : reply.data_centres) AddStatus(report, each);
+  }
+  co_return report;
+}
+
+asio::awaitable<gather_reply> status_controller::AskHop(spread_hop hop, gather_request message) {
+  gather_reply report;
+  const time_point end = Now() + message.budget;
+  while (!hop.candidates.empty()) {
+    const auto& candidate = hop.candidates.front();
+    const auto left = std::chrono::duration_cast<milliseconds>(end - Now());
+    if (left < kLeastBudget) break;
+    message.scope = candidate.scope;
+    // Half of the time is kept for another candidate, while there is one.
+    message.budget = hop.candidates.size() > 1 ? left / 2 : left;
+    auto reply = co_await peers_.Gather(candidate.member->control, message, message.budget);
+    if (Ok(reply)) {
+      for (const auto& each : Value(reply).data_centres) AddStatus(report, each);
+      co_return report;
+    }
+    const member_record& silent = *candidate.member;
+    AddStatus(report,
+              {silent.region, silent.data_centre, 0, 0, 0, 0, 0, {{silent.vm, "no answer"}}});
+    hop.candidates.erase(hop.candidates.begin());
+  }
+  co_return report;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/document/internal/document.cc
@@ -0,0 +1,287 @@
+#include "document/document.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+#include <set>
+
+#include "framework/json/field_table.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace bj = boost::json;
+using json::Child;
+using json::custom_member;
+using json::field;
+using json::problems;
+using json::Report;
+
+constexpr std::size_t kServiceNameLength = 63;
+constexpr std::size_t kRoutes = 256;
+constexpr double kDeadlineMilliseconds = 600'000;
+constexpr double kAttempts = 5;
+constexpr double kPerTarget = 100'000;
+
+/// One permitted word of an enumeration.
+template <typename Enum>
+struct word {
+  std::string_view name;
+  Enum value;
+};
+
+constexpr std::array<word<route_class>, 4> kClasses = {{{"booking", route_class::kBooking},
+                                                        {"internal", route_class::kInternal},
+                                                        {"browse", route_class::kBrowse},
+                                                        {"download", route_class::kDownload}}};
+constexpr std::array<word<caller_scope>, 2> kCallers = {
+    {{"any", caller_scope::kAny}, {"internal", caller_scope::kInternal}}};
+constexpr std::array<word<locality>, 3> kLocalities = {
+    {{"nearest", locality::kNearest}, {"region", locality::kRegion}, {"any", locality::kAny}}};
+
+template <typename Enum, std::size_t kCount>
+void ReadWord(const bj::value& from, const std::string& place,
+              const std::array<word<Enum>, kCount>& words, Enum& to, problems& found) {
+  std::string permitted;
+  for (const auto& each : words) {
+    if (from.is_string() && each.name == std::string_view(from.as_string())) {
+      to = each.value;
+      return;
+    }
+    permitted += (permitted.empty() ? "" : ", ") + std::string(each.name);
+  }
+  Report(found, place, "must be one of " + permitted);
+}
+
+template <typename Enum, std::size_t kCount>
+std::string_view WordOf(const std::array<word<Enum>, kCount>& words, Enum value) {
+  return std::find_if(words.begin(), words.end(),
+                      [&](const auto& each) { return each.value == value; })
+      ->name;
+}
+
+template <typename Item>
+void ReadList(const bj::value& from, const std::string& place, std::span<const field<Item>> table,
+              std::vector<Item>& to, problems& found) {
+  const bj::array* list = from.if_array();
+  if (list == nullptr) {
+    Report(found, place, "must be an array");
+    return;
+  }
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    Item item;
+    json::ReadObject<Item>((*list)[i], Child(place, std::to_string(i)), table, item, found);
+    to.push_back(std::move(item));
+  }
+}
+
+template <typename Item>
+bj::value WriteList(const std::vector<Item>& from, std::span<const field<Item>> table) {
+  bj::array list;
+  for (const Item& each : from) list.push_back(json::WriteObject<Item>(each, table));
+  return list;
+}
+
+const std::array<field<route_match>, 4> kMatchFields = {{
+    {"methods", &route_match::methods, "Methods that match; all when absent."},
+    {"prefix", &route_match::prefix, "Path prefix that matches."},
+    {"exact", &route_match::exact, "Whole path that matches."},
+    {"headers", &route_match::headers, "Header values that must all be present."},
+}};
+
+const std::array<field<route_split>, 2> kSplitFields = {{
+    {"labels", &route_split::labels, "Labels of the targets that get this share.", true},
+    {"weight", &route_split::weight, "Share relative to the other splits.", true, 0, 1'000'000},
+}};
+
+void ReadMatch(const bj::value& from, const std::string& place, route& to, problems& found) {
+  json::ReadObject<route_match>(from, place, kMatchFields, to.match, found);
+}
+bj::value WriteMatch(const route& from) {
+  return json::WriteObject<route_match>(from.match, kMatchFields);
+}
+void ReadClass(const bj::value& from, const std::string& place, route& to, problems& found) {
+  ReadWord(from, place, kClasses, to.kind, found);
+}
+bj::value WriteClass(const route& from) { return bj::string(WordOf(kClasses, from.kind)); }
+void ReadCallers(const bj::value& from, const std::string& place, route& to, problems& found) {
+  ReadWord(from, place, kCallers, to.callers, found);
+}
+bj::value WriteCallers(const route& from) { return bj::string(WordOf(kCallers, from.callers)); }
+void ReadLocality(const bj::value& from, const std::string& place, route& to, problems& found) {
+  ReadWord(from, place, kLocalities, to.preference, found);
+}
+bj::value WriteLocality(const route& from) {
+  return bj::string(WordOf(kLocalities, from.preference));
+}
+void ReadSplits(const bj::value& from, const std::string& place, route& to, problems& found) {
+  ReadList<route_split>(from, place, kSplitFields, to.splits, found);
+}
+bj::value WriteSplits(const route& from) {
+  return WriteList<route_split>(from.splits, kSplitFields);
+}
+
+const std::array<field<route>, 11> kRouteFields = {{
+    {"name", &route::name, "Name of the route in logs and metrics.", true, 1},
+    {"match", custom_member<route>{ReadMatch, WriteMatch}, "Which requests it takes.", true},
+    {"class", custom_member<route>{ReadClass, WriteClass}, "Sort of work.", true},
+    {"repeatable", &route::repeatable, "Whether a request may run twice.", true},
+    {"deadline_ms", &route::deadline, "Time for the whole request, in milliseconds.", false, 1,
+     kDeadlineMilliseconds},
+    {"attempts", &route::attempts, "Tries in all, the first included.", false, 1, kAttempts},
+    {"concurrency", &route::concurrency, "Requests at once at one target.", false, 1, kPerTarget},
+    {"queue", &route::queue, "Requests that may wait at one target.", false, 0, kPerTarget},
+    {"callers", custom_member<route>{ReadCallers, WriteCallers}, "Who may call."},
+    {"locality", custom_member<route>{ReadLocality, WriteLocality}, "How far targets are sought."},
+    {"splits", custom_member<route>{ReadSplits, WriteSplits}, "Shares between target labels."},
+}};
+
+const std::array<field<target_selection>, 4> kTargetFields = {{
+    {"regions", &target_selection::regions, "Regions whose targets take traffic; all when empty."},
+    {"labels", &target_selection::labels, "Labels that a target must carry."},
+    {"max_connections", &target_selection::max_connections, "Connections one target takes.", false,
+     1, kPerTarget},
+    {"slow_start_ms", &target_selection::slow_start, "Time in which a new target's share grows.",
+     false, 0, kDeadlineMilliseconds},
+}};
+
+const std::array<field<retry_budget_settings>, 2> kBudgetFields = {{
+    {"ratio", &retry_budget_settings::ratio, "Retries as a share of first tries.", false, 0, 1},
+    {"least_per_second", &retry_budget_settings::least_per_second,
+     "Retries a second that are always allowed.", false, 0, 1'000},
+}};
+
+void ReadTargets(const bj::value& from, const std::string& place, document& to, problems& found) {
+  json::ReadObject<target_selection>(from, place, kTargetFields, to.targets, found);
+}
+bj::value WriteTargets(const document& from) {
+  return json::WriteObject<target_selection>(from.targets, kTargetFields);
+}
+void ReadBudget(const bj::value& from, const std::string& place, document& to, problems& found) {
+  json::ReadObject<retry_budget_settings>(from, place, kBudgetFields, to.retry_budget, found);
+}
+bj::value WriteBudget(const document& from) {
+  return json::WriteObject<retry_budget_settings>(from.retry_budget, kBudgetFields);
+}
+void ReadRoutes(const bj::value& from, const std::string& place, document& to, problems& found) {
+  ReadList<route>(from, place, kRouteFields, to.routes, found);
+}
+bj::value WriteRoutes(const document& from) { return WriteList<route>(from.routes, kRouteFields); }
+
+const std::array<field<document>, 6> kDocumentFields = {{
+    {"schema", &document::schema, "Version of the document's form.", true, 1, kDocumentSchema},
+    {"service", &document::service, "Name of the service.", true, 1},
+    {"owner", &document::owner, "Team that may change the document.", true, 1},
+    {"targets", custom_member<document>{ReadTargets, WriteTargets}, "Which targets take traffic."},
+    {"retry_budget", custom_member<document>{ReadBudget, WriteBudget}, "How much may be repeated."},
+    {"routes", custom_member<document>{ReadRoutes, WriteRoutes}, "Routes; the first match wins.",
+     true},
+}};
+
+bool Subset(const std::vector<std::string>& inner, const std::vector<std::string>& outer) {
+  return std::all_of(inner.begin(), inner.end(), [&](const std::string& each) {
+    return std::find(outer.begin(), outer.end(), each) != outer.end();
+  });
+}
+
+/// Whether every request that the later match takes is taken by the earlier one already.
+bool Shadows(const route_match& earlier, const route_match& later) {
+  const bool methods =
+      earlier.methods.empty() || (!later.methods.empty() && Subset(later.methods, earlier.methods));
+  const std::string& path = later.exact.empty() ? later.prefix : later.exact;
+  const bool paths = earlier.exact.empty()
+                         ? path.compare(0, earlier.prefix.size(), earlier.prefix) == 0
+                         : earlier.exact == later.exact;
+  const bool headers =
+      std::all_of(earlier.headers.begin(), earlier.headers.end(), [&](const auto& each) {
+        const auto found = later.headers.find(each.first);
+        return found != later.headers.end() && found->second == each.second;
+      });
+  return methods && paths && headers;
+}
+
+void CheckPath(const std::string& path, const std::string& place, problems& found) {
+  if (!path.empty() && path.front() != '/') Report(found, place, "must start with /");
+}
+
+void CheckRoute(const route& each, const std::string& place, problems& found) {
+  CheckPath(each.match.prefix, place + "/match/prefix", found);
+  CheckPath(each.match.exact, place + "/match/exact", found);
+  if (!each.match.prefix.empty() && !each.match.exact.empty()) {
+    Report(found, place + "/match", "takes prefix or exact, not both");
+  }
+  for (std::size_t i = 0; i < each.match.methods.size(); ++i) {
+    const std::string& method = each.match.methods[i];
+    const bool upper =
+        std::all_of(method.begin(), method.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+    if (!upper) {
+      Report(found, place + "/match/methods/" + std::to_string(i), "must be upper-case letters");
+    }
+  }
+  if (!each.repeatable && each.attempts > 1) {
+    Report(found, place + "/attempts", "must be 1 on a route that is not repeatable");
+  }
+  if (each.repeatable && each.kind == route_class::kBooking) {
+    Report(found, place + "/repeatable", "must be false on a route of class booking");
+  }
+  std::int64_t weight = 0;
+  for (const route_split& split : each.splits) weight += split.weight;
+  if (!each.splits.empty() && weight == 0) {
+    Report(found, place + "/splits", "must have a weight above 0");
+  }
+}
+
+void CheckRoutes(const std::vector<route>& routes, problems& found) {
+  if (routes.empty()) Report(found, "/routes", "must not be empty");
+  if (routes.size() > kRoutes) Report(found, "/routes", "must have at most 256 routes");
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    const std::string place = Child("/routes", std::to_string(i));
+    CheckRoute(routes[i], place, found);
+    if (!names.insert(routes[i].name).second) {
+      Report(found, place + "/name", "stands twice: " + routes[i].name);
+    }
+    for (std::size_t j = 0; j < i; ++j) {
+      if (routes[j].match == routes[i].match) {
+        Report(found, place + "/match", "repeats that of route " + routes[j].name);
+        break;
+      }
+      if (Shadows(routes[j].match, routes[i].match)) {
+        Report(found, place + "/match", "is never reached behind route " + routes[j].name);
+        break;
+      }
+    }
+  }
+}
+
+}  // namespace
+
+bool IsServiceName(std::string_view name) {
+  const bool plain = std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+  return plain && !name.empty() && name.size() <= kServiceNameLength && name.front() != '-' &&
+         name.back() != '-';
+}
+
+std::string_view ClassName(route_class kind) { return WordOf(kClasses, kind); }
+
+std::variant<document, json::problems> ParseDocument(std::string_view text) {
+  problems found;
+  if (text.size() > kDocumentBytes) {
+    Report(found, "", "is larger than " + std::to_string(kDocumentBytes) + " bytes");
+    return found;
+  }
+  auto parsed = json::ParseWithComments(text);
+  if (auto* failed = std::get_if<problems>(&parsed)) return *failed;
+  document content;
+  json::ReadObject<document>(std::get<bj::value>(parsed), "", kDocumentFields, content, found);
+  if (!content.service.empty() && !IsServiceName(content.service)) {
+    Report(found, "/service", "must be lower-case letters, digits and dashes, at most 63");
+  }
+  if (found.empty()) CheckRoutes(content.routes, found);
+  if (!found.empty()) return found;
+  return content;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/framework/base/clock.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace catkinmoor {
+
+using milliseconds = std::chrono::milliseconds;
+
+/// A point of the steady clock. Decisions receive it as an argument and never read a clock.
+using time_point = std::chrono::steady_clock::time_point;
+
+inline time_point Now() { return std::chrono::steady_clock::now(); }
+
+/// Milliseconds since the Unix epoch, for times shown to people and for incarnation numbers.
+inline std::uint64_t WallMilliseconds() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/framework/http/internal/client.cc
@@ -0,0 +1,167 @@
+#include "framework/http/client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "framework/base/sharded_map.h"
+
+namespace catkinmoor::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
+constexpr std::size_t kIdlePerPeer = 4;
+constexpr std::uint64_t kReplyBodyBytes = 64U << 20U;
+
+using stream_ptr = std::unique_ptr<beast::tcp_stream>;
+
+/// How far one try got.
+enum class progress { kNotSent, kSent, kAnswered };
+
+struct attempt {
+  progress reached = progress::kNotSent;
+  bool timed_out = false;
+  std::string message;
+  reply answer;
+  bool keep_alive = false;
+  std::uint64_t bytes = 0;
+};
+
+bhttp::request<bhttp::string_body> Convert(const endpoint& peer, const request& from) {
+  bhttp::request<bhttp::string_body> to;
+  to.method_string(from.method);
+  to.target(from.target);
+  to.version(11);
+  to.set(bhttp::field::host, ToString(peer));
+  for (const auto& [name, value] : from.headers) to.set(name, value);
+  to.body() = from.body;
+  to.prepare_payload();
+  return to;
+}
+
+asio::awaitable<attempt> TryOnce(beast::tcp_stream& stream, const endpoint& peer,
+                                 const request& message) {
+  attempt outcome;
+  auto outgoing = Convert(peer, message);
+  auto [write_failed, written] = co_await bhttp::async_write(stream, outgoing, kAwait);
+  outcome.bytes += written;
+  outcome.reached = written > 0 ? progress::kSent : progress::kNotSent;
+  if (write_failed) {
+    outcome.timed_out = write_failed == beast::error::timeout;
+    outcome.message = "write: " + write_failed.message();
+    co_return outcome;
+  }
+  beast::flat_buffer buffer;
+  bhttp::response_parser<bhttp::string_body> parser;
+  parser.body_limit(kReplyBodyBytes);
+  if (message.method == "HEAD") parser.skip(true);
+  auto [read_failed, count] = co_await bhttp::async_read(stream, buffer, parser, kAwait);
+  outcome.bytes += count;
+  if (read_failed) {
+    outcome.timed_out = read_failed == beast::error::timeout;
+    outcome.message = "read: " + read_failed.message();
+    co_return outcome;
+  }
+  outcome.reached = progress::kAnswered;
+  outcome.answer.status = parser.get().result_int();
+  for (const auto& each : parser.get()) {
+    outcome.answer.headers.emplace(std::string(each.name_string()), std::string(each.value()));
+  }
+  outcome.keep_alive = parser.keep_alive();
+  outcome.answer.body = std::move(parser.get().body());
+  co_return outcome;
+}
+
+}  // namespace
+
+struct client::state {
+  sharded_map<std::string, std::vector<stream_ptr>> idle;
+  std::atomic<std::uint64_t> bytes = 0;
+
+  stream_ptr TakeIdle(const std::string& peer) {
+    return idle.With(peer, [&](auto& entries) -> stream_ptr {
+      auto found = entries.find(peer);
+      if (found == entries.end() || found->second.empty()) return nullptr;
+      stream_ptr taken = std::move(found->second.back());
+      found->second.pop_back();
+      return taken;
+    });
+  }
+
+  void PutIdle(const std::string& peer, stream_ptr stream) {
+    stream->expires_never();
+    idle.With(peer, [&](auto& entries) {
+      auto& streams = entries[peer];
+      if (streams.size() < kIdlePerPeer) streams.push_back(std::move(stream));
+      return 0;
+    });
+  }
+};
+
+client::client() : state_(std::make_shared<state>()) {}
+client::~client() = default;
+
+std::uint64_t client::BytesCarried() const { return state_->bytes; }
+
+asio::awaitable<result<reply>> client::Send(endpoint peer, request message, milliseconds timeout) {
+  const auto shared = state_;
+  const std::string name = ToString(peer);
+  const std::string step = message.method + " " + std::string(message.Path());
+  const bool repeatable = message.method == "GET" || message.method == "HEAD";
+  for (bool fresh = false;; fresh = true) {
+    stream_ptr stream = fresh ? nullptr : shared->TakeIdle(name);
+    const bool reused = stream != nullptr;
+    if (!reused) {
+      stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+    }
+    stream->expires_after(timeout);
+    if (!reused) {
+      beast::error_code bad_address;
+      const auto address = asio::ip::make_address(peer.address, bad_address);
+      if (bad_address) {
+        co_return error{error_kind::kInvalid, step, name, "not an IP number"};
+      }
+      auto [failed] = co_await stream->async_connect({address, peer.port}, kAwait);
+      if (failed) {
+        co_return error{error_kind::kUnavailable, step, name, "connect: " + failed.message()};
+      }
+      beast::error_code ignored;
+      stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    attempt outcome = co_await TryOnce(*stream, peer, message);
+    shared->bytes += outcome.bytes;
+    if (outcome.reached == progress::kAnswered) {
+      if (outcome.keep_alive) shared->PutIdle(name, std::move(stream));
+      co_return std::move(outcome.answer);
+    }
+    if (reused && repeatable && !outcome.timed_out) continue;
+    error_kind kind = error_kind::kUnavailable;
+    if (outcome.timed_out) kind = error_kind::kTimeout;
+    if (outcome.reached == progress::kSent && !repeatable) kind = error_kind::kUndecided;
+    co_return error{kind, step, name, outcome.message};
+  }
+}
+
+result<reply> SendAndWait(const endpoint& peer, const request& message, milliseconds timeout) {
+  asio::io_context context;
+  client sender;
+  result<reply> outcome = error{error_kind::kInternal, "send", ToString(peer), "not run"};
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> { outcome = co_await sender.Send(peer, message, timeout); },
+      asio::detached);
+  context.run();
+  return outcome;
+}
+
+}  // namespace catkinmoor::http
--- /dev/null
+++ b/src/framework/http/internal/message.cc
@@ -0,0 +1,76 @@
+#include "framework/http/message.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace catkinmoor::http {
+namespace {
+
+int HexValue(char digit) {
+  if (digit >= '0' && digit <= '9') return digit - '0';
+  if (digit >= 'a' && digit <= 'f') return digit - 'a' + 10;
+  if (digit >= 'A' && digit <= 'F') return digit - 'A' + 10;
+  return -1;
+}
+
+std::string Decode(std::string_view text) {
+  std::string plain;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size() && HexValue(text[i + 1]) >= 0 &&
+                         HexValue(text[i + 2]) >= 0;
+    if (escaped) {
+      plain.push_back(static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2])));
+      i += 2;
+    } else {
+      plain.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return plain;
+}
+
+}  // namespace
+
+bool header_less::operator()(std::string_view left, std::string_view right) const {
+  return std::lexicographical_compare(
+      left.begin(), left.end(), right.begin(), right.end(),
+      [](unsigned char a, unsigned char b) { return std::tolower(a) < std::tolower(b); });
+}
+
+std::string_view request::Path() const {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+std::optional<std::string> request::Query(std::string_view name) const {
+  const auto mark = target.find('?');
+  if (mark == std::string::npos) return std::nullopt;
+  std::string_view rest = std::string_view(target).substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) != name) continue;
+    return equals == std::string_view::npos ? "" : Decode(pair.substr(equals + 1));
+  }
+  return std::nullopt;
+}
+
+std::string_view Header(const header_map& headers, std::string_view name) {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+std::string EncodeQuery(std::string_view text) {
+  static constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char each : text) {
+    const auto byte = static_cast<unsigned char>(each);
+    if (std::isalnum(byte) != 0 || each == '-' || each == '_' || each == '.' || each == '/') {
+      encoded.push_back(each);
+    } else {
+      encoded += {'%', kDigits[byte >> 4U], kDigits[byte & 0xFU]};
+    }
+  }
+  return encoded;
+}
+
+}  // namespace catkinmoor::http
--- /dev/null
+++ b/src/framework/http/internal/server.cc
@@ -0,0 +1,146 @@
+#include "framework/http/server.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+namespace catkinmoor::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
+
+request Convert(bhttp::request<bhttp::string_body> from) {
+  request to;
+  to.method = std::string(from.method_string());
+  to.target = std::string(from.target());
+  for (const auto& each : from) {
+    to.headers.emplace(std::string(each.name_string()), std::string(each.value()));
+  }
+  to.body = std::move(from.body());
+  return to;
+}
+
+unsigned StatusOf(const beast::error_code& failed) {
+  if (failed == bhttp::error::header_limit) return 431;
+  if (failed == bhttp::error::body_limit) return 413;
+  return 400;
+}
+
+bool IsProtocolError(const beast::error_code& failed) {
+  return failed.category() == make_error_code(bhttp::error::bad_method).category() &&
+         failed != bhttp::error::end_of_stream && failed != bhttp::error::partial_message;
+}
+
+}  // namespace
+
+struct server::state : std::enable_shared_from_this<server::state> {
+  state(asio::io_context& io, server_limits bounds, handler to_answer)
+      : context(io), limits(bounds), answer(std::move(to_answer)) {}
+
+  asio::io_context& context;
+  server_limits limits;
+  handler answer;
+  std::optional<asio::ip::tcp::acceptor> acceptor;
+  std::atomic<bool> stopping = false;
+
+  asio::awaitable<void> Accept() {
+    const auto self = shared_from_this();
+    while (!stopping) {
+      auto [failed, socket] = co_await acceptor->async_accept(asio::make_strand(context), kAwait);
+      if (failed == asio::error::operation_aborted || stopping) co_return;
+      if (failed) {
+        // Accepting fails while descriptors run out; a pause lets some be closed.
+        asio::steady_timer pause(context, milliseconds(10));
+        co_await pause.async_wait(kAwait);
+        continue;
+      }
+      const auto executor = socket.get_executor();
+      asio::co_spawn(executor, Serve(self, beast::tcp_stream(std::move(socket))), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<state> self, beast::tcp_stream stream) {
+    beast::flat_buffer buffer;
+    beast::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    while (!self->stopping) {
+      bhttp::request_parser<bhttp::string_body> parser;
+      parser.header_limit(self->limits.header_bytes);
+      parser.body_limit(self->limits.body_bytes);
+      stream.expires_after(self->limits.header_timeout);
+      auto [failed, count] = co_await bhttp::async_read(stream, buffer, parser, kAwait);
+      reply outcome;
+      bool keep_alive = false;
+      unsigned version = 11;
+      bool head = false;
+      if (failed) {
+        if (!IsProtocolError(failed)) co_return;
+        outcome.status = StatusOf(failed);
+        outcome.body = failed.message() + "\n";
+      } else {
+        keep_alive = parser.keep_alive();
+        version = parser.get().version();
+        head = parser.get().method() == bhttp::verb::head;
+        stream.expires_never();
+        outcome = co_await self->answer(Convert(parser.release()));
+      }
+      bhttp::response<bhttp::string_body> outgoing(static_cast<bhttp::status>(outcome.status),
+                                                   version);
+      for (const auto& [name, value] : outcome.headers) outgoing.set(name, value);
+      outgoing.body() = std::move(outcome.body);
+      outgoing.keep_alive(keep_alive && !self->stopping);
+      outgoing.prepare_payload();
+      if (head) outgoing.body().clear();
+      stream.expires_after(self->limits.header_timeout);
+      auto [write_failed, written] = co_await bhttp::async_write(stream, outgoing, kAwait);
+      if (write_failed || !outgoing.keep_alive()) break;
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+};
+
+server::server(asio::io_context& context, server_limits limits, handler answer)
+    : state_(std::make_shared<state>(context, limits, std::move(answer))) {}
+
+server::~server() { Stop(); }
+
+result<done> server::Listen(const endpoint& where) {
+  const std::string name = ToString(where);
+  beast::error_code failed;
+  const auto address = asio::ip::make_address(where.address, failed);
+  if (failed) return error{error_kind::kInvalid, "listen", name, failed.message()};
+  const asio::ip::tcp::endpoint local(address, where.port);
+  auto& acceptor = state_->acceptor.emplace(state_->context);
+  acceptor.open(local.protocol(), failed);
+  if (!failed) acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+  if (!failed) acceptor.bind(local, failed);
+  if (!failed) acceptor.listen(asio::socket_base::max_listen_connections, failed);
+  if (failed) return error{error_kind::kUnavailable, "listen", name, failed.message()};
+  asio::co_spawn(state_->context, state_->Accept(), asio::detached);
+  return done{};
+}
+
+void server::Stop() {
+  if (state_->stopping.exchange(true) || !state_->acceptor) return;
+  asio::post(state_->context, [shared = state_] {
+    beast::error_code ignored;
+    shared->acceptor->close(ignored);
+  });
+}
+
+}  // namespace catkinmoor::http
--- /dev/null
+++ b/src/framework/json/internal/reader.cc
@@ -0,0 +1,139 @@
+#include "framework/json/reader.h"
+
+#include <algorithm>
+#include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/parse_options.hpp>
+#include <boost/json/parser.hpp>
+#include <boost/json/visit.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace catkinmoor::json {
+namespace {
+
+constexpr std::size_t kMaxDepth = 32;
+
+bj::parse_options Options() {
+  bj::parse_options options;
+  options.allow_comments = true;
+  options.allow_trailing_commas = true;
+  options.max_depth = kMaxDepth;
+  return options;
+}
+
+std::string LineAndColumn(std::string_view text, std::size_t offset) {
+  const std::string_view before = text.substr(0, std::min(offset, text.size()));
+  const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+  const auto newline = before.rfind('\n');
+  const auto column =
+      newline == std::string_view::npos ? before.size() + 1 : before.size() - newline;
+  return "line " + std::to_string(line) + " column " + std::to_string(column);
+}
+
+/// Watches the parse for keys that one object holds twice, which the DOM would drop silently.
+struct duplicate_key_handler {
+  static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+  static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
+
+  std::vector<std::set<std::string>> keys;
+  std::string part;
+  std::vector<std::string> duplicates;
+
+  bool on_document_begin(bj::error_code&) { return true; }
+  bool on_document_end(bj::error_code&) { return true; }
+  bool on_object_begin(bj::error_code&) {
+    keys.emplace_back();
+    return true;
+  }
+  bool on_object_end(std::size_t, bj::error_code&) {
+    keys.pop_back();
+    return true;
+  }
+  bool on_array_begin(bj::error_code&) { return true; }
+  bool on_array_end(std::size_t, bj::error_code&) { return true; }
+  bool on_key_part(bj::string_view text, std::size_t, bj::error_code&) {
+    part.append(text.data(), text.size());
+    return true;
+  }
+  bool on_key(bj::string_view text, std::size_t, bj::error_code&) {
+    part.append(text.data(), text.size());
+    if (!keys.back().insert(part).second) duplicates.push_back(part);
+    part.clear();
+    return true;
+  }
+  bool on_string_part(bj::string_view, std::size_t, bj::error_code&) { return true; }
+  bool on_string(bj::string_view, std::size_t, bj::error_code&) { return true; }
+  bool on_number_part(bj::string_view, bj::error_code&) { return true; }
+  bool on_int64(std::int64_t, bj::string_view, bj::error_code&) { return true; }
+  bool on_uint64(std::uint64_t, bj::string_view, bj::error_code&) { return true; }
+  bool on_double(double, bj::string_view, bj::error_code&) { return true; }
+  bool on_bool(bool, bj::error_code&) { return true; }
+  bool on_null(bj::error_code&) { return true; }
+  bool on_comment_part(bj::string_view, bj::error_code&) { return true; }
+  bool on_comment(bj::string_view, bj::error_code&) { return true; }
+};
+
+std::vector<std::string> DuplicateKeys(std::string_view text) {
+  bj::basic_parser<duplicate_key_handler> parser(Options());
+  bj::error_code failed;
+  parser.write_some(false, text.data(), text.size(), failed);
+  return parser.handler().duplicates;
+}
+
+}  // namespace
+
+std::string Describe(const problems& found) {
+  std::string text;
+  for (const problem& each : found) {
+    if (!text.empty()) text += "\n";
+    text += (each.place.empty() ? "/" : each.place) + ": " + each.message;
+  }
+  return text;
+}
+
+std::variant<bj::value, problems> ParseWithComments(std::string_view text) {
+  bj::parser parser({}, Options());
+  bj::error_code failed;
+  const std::size_t consumed = parser.write(text.data(), text.size(), failed);
+  if (failed) {
+    const std::size_t offset = failed == bj::error::incomplete ? text.size() : consumed;
+    return problems{{LineAndColumn(text, offset), failed.message()}};
+  }
+  problems found;
+  for (const std::string& key : DuplicateKeys(text)) {
+    Report(found, "", "key \"" + key + "\" stands twice in one object");
+  }
+  if (!found.empty()) return found;
+  return parser.release();
+}
+
+result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return error{error_kind::kNotFound, "read file", "", "cannot open " + path};
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void Report(problems& found, std::string place, std::string message) {
+  found.push_back({std::move(place), std::move(message)});
+}
+
+std::string Child(const std::string& parent, std::string_view key) {
+  std::string pointer = parent + "/";
+  for (const char each : key) {
+    if (each == '~') {
+      pointer += "~0";
+    } else if (each == '/') {
+      pointer += "~1";
+    } else {
+      pointer += each;
+    }
+  }
+  return pointer;
+}
+
+}  // namespace catkinmoor::json
--- /dev/null
+++ b/src/operator_client/internal/operator_client.cc
@@ -0,0 +1,104 @@
+#include "operator_client/operator_client.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <sstream>
+
+#include "framework/http/client.h"
+
+namespace catkinmoor {
+namespace {
+
+std::vector<std::string> Lines(const std::string& text) {
+  std::vector<std::string> lines;
+  std::istringstream from(text);
+  for (std::string line; std::getline(from, line);) lines.push_back(line);
+  return lines;
+}
+
+}  // namespace
+
+exit_code ExitCodeOf(const operator_reply& reply) {
+  switch (reply.status) {
+    case 200:
+    case 202:
+      return exit_code::kOk;
+    case 400:
+    case 413:
+    case 422:
+      return exit_code::kInvalid;
+    case 401:
+    case 403:
+      return exit_code::kNotAllowed;
+    case 404:
+      return exit_code::kNotFound;
+    case 409:
+      return exit_code::kConflict;
+    case 503:
+      break;
+    default:
+      return exit_code::kInternal;
+  }
+  const auto* object = reply.body.if_object();
+  const auto* failure = object == nullptr ? nullptr : object->if_contains("error");
+  const bool undecided = failure != nullptr && failure->is_object() &&
+                         failure->as_object().contains("kind") &&
+                         failure->as_object().at("kind") == "undecided";
+  return undecided ? exit_code::kUndecided : exit_code::kUnavailable;
+}
+
+operator_client::operator_client(std::vector<endpoint> daemons, std::string token,
+                                 milliseconds timeout)
+    : daemons_(std::move(daemons)), token_(std::move(token)), timeout_(timeout) {}
+
+result<operator_reply> operator_client::Call(const std::string& method, const std::string& target,
+                                             const std::string& body) {
+  error last{error_kind::kInvalid, "call", "", "no daemon is named"};
+  for (const endpoint& daemon : daemons_) {
+    http::request message{method, target, {}, body};
+    message.headers["authorization"] = "Bearer " + token_;
+    auto answer = http::SendAndWait(daemon, message, timeout_);
+    if (!Ok(answer)) {
+      last = Failure(answer);
+      continue;
+    }
+    boost::json::error_code failed;
+    auto parsed = boost::json::parse(Value(answer).body, failed);
+    if (failed) parsed = boost::json::string(Value(answer).body);
+    return operator_reply{Value(answer).status, std::move(parsed)};
+  }
+  return last;
+}
+
+std::string DiffLines(const std::string& left, const std::string& right) {
+  const auto old_lines = Lines(left);
+  const auto new_lines = Lines(right);
+  // Lengths of the longest common subsequence of the remaining lines.
+  std::vector<std::vector<std::size_t>> common(old_lines.size() + 1,
+                                               std::vector<std::size_t>(new_lines.size() + 1));
+  for (std::size_t i = old_lines.size(); i-- > 0;) {
+    for (std::size_t j = new_lines.size(); j-- > 0;) {
+      common[i][j] = old_lines[i] == new_lines[j] ? common[i + 1][j + 1] + 1
+                                                  : std::max(common[i + 1][j], common[i][j + 1]);
+    }
+  }
+  std::string text;
+  std::size_t i = 0;
+  std::size_t j = 0;
+  while (i < old_lines.size() || j < new_lines.size()) {
+    const bool same = i < old_lines.size() && j < new_lines.size() && old_lines[i] == new_lines[j];
+    if (same) {
+      text += "  " + old_lines[i] + "\n";
+      ++i;
+      ++j;
+    } else if (j == new_lines.size() ||
+               (i < old_lines.size() && common[i + 1][j] >= common[i][j + 1])) {
+      text += "- " + old_lines[i++] + "\n";
+    } else {
+      text += "+ " + new_lines[j++] + "\n";
+    }
+  }
+  return text;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/peer/internal/convert.cc
@@ -0,0 +1,345 @@
+#include "peer/internal/convert.h"
+
+#include <zstd.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace catkinmoor::peer_internal {
+namespace {
+
+constexpr int kCompressionLevel = 3;
+
+std::string Compress(const std::string& text) {
+  std::string frame(ZSTD_compressBound(text.size()), '\0');
+  const std::size_t size =
+      ZSTD_compress(frame.data(), frame.size(), text.data(), text.size(), kCompressionLevel);
+  frame.resize(ZSTD_isError(size) != 0 ? 0 : size);
+  return frame;
+}
+
+std::optional<std::string> Decompress(const std::string& frame) {
+  const auto size = ZSTD_getFrameContentSize(frame.data(), frame.size());
+  // Unknown and malformed sizes are the two greatest values, so one comparison refuses them too.
+  if (size > kDocumentBytes) return std::nullopt;
+  std::string text(size, '\0');
+  const std::size_t got = ZSTD_decompress(text.data(), text.size(), frame.data(), frame.size());
+  if (ZSTD_isError(got) != 0 || got != size) return std::nullopt;
+  return text;
+}
+
+std::string HexToBytes(const std::string& hex) {
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
+    bytes.push_back(static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+  }
+  return bytes;
+}
+
+std::string BytesToHex(const std::string& bytes) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string hex;
+  for (const char each : bytes) {
+    const auto byte = static_cast<unsigned char>(each);
+    hex += {kDigits[byte >> 4U], kDigits[byte & 0xFU]};
+  }
+  return hex;
+}
+
+/// An enumerator from a peer, held within the range that this release knows.
+template <typename Enum>
+Enum Bounded(std::uint32_t number, Enum last) {
+  return static_cast<Enum>(std::min(number, static_cast<std::uint32_t>(last)));
+}
+
+template <typename Enum>
+std::uint32_t Number(Enum value) {
+  return static_cast<std::uint32_t>(value);
+}
+
+void ToWire(const endpoint& from, wire::Endpoint& to) {
+  to.set_address(from.address);
+  to.set_port(from.port);
+}
+
+endpoint FromWire(const wire::Endpoint& from) {
+  return {from.address(), static_cast<std::uint16_t>(from.port())};
+}
+
+void ToWire(const member_version& from, wire::MemberVersion& to) {
+  to.set_incarnation(from.incarnation);
+  to.set_sequence(from.sequence);
+  to.set_state(Number(from.state));
+}
+
+member_version FromWire(const wire::MemberVersion& from) {
+  return {from.incarnation(), from.sequence(), Bounded(from.state(), member_state::kLeft)};
+}
+
+void ToWire(const document_version& from, wire::Document& to) {
+  to.set_service(from.service);
+  to.set_version(from.version);
+  to.set_change(from.change);
+  to.set_digest(HexToBytes(from.digest));
+  to.set_text(Compress(from.text));
+}
+
+void ToWire(const target_announcement& from, wire::Target& to) {
+  to.set_service(from.service);
+  to.set_instance(from.instance);
+  to.mutable_labels()->insert(from.labels.begin(), from.labels.end());
+  to.set_state(Number(from.state));
+  to.set_slots(from.slots);
+  to.set_connections(from.connections);
+  to.set_ready_at_ms(from.ready_at_ms);
+}
+
+target_announcement FromWire(const wire::Target& from) {
+  return {from.service(),
+          from.instance(),
+          {from.labels().begin(), from.labels().end()},
+          Bounded(from.state(), target_state::kLeaving),
+          from.slots(),
+          from.connections(),
+          from.ready_at_ms()};
+}
+
+void ToWire(const member_record& from, wire::Member& to) {
+  to.set_vm(from.vm);
+  to.set_region(from.region);
+  to.set_data_centre(from.data_centre);
+  ToWire(from.gate, *to.mutable_gate());
+  ToWire(from.control, *to.mutable_control());
+  ToWire(from.version, *to.mutable_version());
+  if (from.target) ToWire(*from.target, *to.mutable_target());
+}
+
+member_record FromWire(const wire::Member& from) {
+  member_record to{from.vm(),
+                   from.region(),
+                   from.data_centre(),
+                   FromWire(from.gate()),
+                   FromWire(from.control()),
+                   FromWire(from.version()),
+                   std::nullopt};
+  if (from.has_target()) to.target = FromWire(from.target());
+  return to;
+}
+
+void ToWire(const spread_scope& from, wire::Scope& to) {
+  to.set_reach(Number(from.reach));
+  to.set_last(from.last);
+}
+
+spread_scope FromWire(const wire::Scope& from) {
+  return {Bounded(from.reach(), spread_reach::kSegment), from.last()};
+}
+
+template <typename WireList>
+void DocumentsToWire(const std::vector<document_version>& from, WireList& to) {
+  for (const auto& each : from) ToWire(each, *to.Add());
+}
+
+template <typename WireList>
+void DocumentsFromWire(const WireList& from, std::vector<document_version>& to) {
+  for (const wire::Document& each : from) {
+    auto text = Decompress(each.text());
+    if (!text) continue;
+    to.push_back({each.service(), each.version(), each.change(), BytesToHex(each.digest()),
+                  std::move(*text)});
+  }
+}
+
+template <typename WireList>
+void MembersToWire(const std::vector<member_record>& from, WireList& to) {
+  for (const auto& each : from) ToWire(each, *to.Add());
+}
+
+template <typename WireList>
+void MembersFromWire(const WireList& from, std::vector<member_record>& to) {
+  for (const wire::Member& each : from) to.push_back(FromWire(each));
+}
+
+template <typename Item, typename WireList>
+void CopyToWire(const std::vector<Item>& from, WireList& to) {
+  to.Add(from.begin(), from.end());
+}
+
+template <typename Item, typename WireList>
+void CopyFromWire(const WireList& from, std::vector<Item>& to) {
+  to.assign(from.begin(), from.end());
+}
+
+}  // namespace
+
+void ToWire(const spread_request& from, wire::SpreadRequest& to) {
+  to.set_sender(from.sender);
+  to.set_sender_data_centre(from.sender_data_centre);
+  ToWire(from.scope, *to.mutable_scope());
+  DocumentsToWire(from.documents, *to.mutable_documents());
+  MembersToWire(from.members, *to.mutable_members());
+}
+
+void FromWire(const wire::SpreadRequest& from, spread_request& to) {
+  to.sender = from.sender();
+  to.sender_data_centre = from.sender_data_centre();
+  to.scope = FromWire(from.scope());
+  DocumentsFromWire(from.documents(), to.documents);
+  MembersFromWire(from.members(), to.members);
+}
+
+void ToWire(const spread_reply& from, wire::SpreadReply& to) {
+  CopyToWire(from.refused_services, *to.mutable_refused_services());
+}
+
+void FromWire(const wire::SpreadReply& from, spread_reply& to) {
+  CopyFromWire(from.refused_services(), to.refused_services);
+}
+
+void ToWire(const probe_request& from, wire::ProbeRequest& to) {
+  to.set_sender(from.sender);
+  to.set_document_hash(from.document_hash);
+  to.set_member_hash(from.member_hash);
+  to.set_on_behalf_of(from.on_behalf_of);
+}
+
+void FromWire(const wire::ProbeRequest& from, probe_request& to) {
+  to = {from.sender(), from.document_hash(), from.member_hash(), from.on_behalf_of()};
+}
+
+void ToWire(const probe_reply& from, wire::ProbeReply& to) {
+  to.set_reached(from.reached);
+  to.set_document_hash(from.document_hash);
+  to.set_member_hash(from.member_hash);
+}
+
+void FromWire(const wire::ProbeReply& from, probe_reply& to) {
+  to = {from.reached(), from.document_hash(), from.member_hash()};
+}
+
+void ToWire(const compare_request& from, wire::CompareRequest& to) {
+  to.set_sender(from.sender);
+  CopyToWire(from.document_buckets, *to.mutable_document_buckets());
+  CopyToWire(from.member_buckets, *to.mutable_member_buckets());
+}
+
+void FromWire(const wire::CompareRequest& from, compare_request& to) {
+  to.sender = from.sender();
+  CopyFromWire(from.document_buckets(), to.document_buckets);
+  CopyFromWire(from.member_buckets(), to.member_buckets);
+}
+
+void ToWire(const compare_reply& from, wire::CompareReply& to) {
+  CopyToWire(from.document_buckets, *to.mutable_document_buckets());
+  CopyToWire(from.member_buckets, *to.mutable_member_buckets());
+  for (const document_summary& each : from.documents) {
+    wire::DocumentSummary& summary = *to.add_documents();
+    summary.set_service(each.service);
+    summary.set_version(each.version);
+    summary.set_digest(HexToBytes(each.digest));
+  }
+  for (const member_summary& each : from.members) {
+    wire::MemberSummary& summary = *to.add_members();
+    summary.set_vm(each.vm);
+    ToWire(each.version, *summary.mutable_version());
+  }
+}
+
+void FromWire(const wire::CompareReply& from, compare_reply& to) {
+  CopyFromWire(from.document_buckets(), to.document_buckets);
+  CopyFromWire(from.member_buckets(), to.member_buckets);
+  for (const wire::DocumentSummary& each : from.documents()) {
+    to.documents.push_back({each.service(), each.version(), BytesToHex(each.digest())});
+  }
+  for (const wire::MemberSummary& each : from.members()) {
+    to.members.push_back({each.vm(), FromWire(each.version())});
+  }
+}
+
+void ToWire(const transfer_request& from, wire::TransferRequest& to) {
+  to.set_sender(from.sender);
+  to.set_sender_data_centre(from.sender_data_centre);
+  DocumentsToWire(from.documents, *to.mutable_documents());
+  MembersToWire(from.members, *to.mutable_members());
+  CopyToWire(from.wanted_documents, *to.mutable_wanted_documents());
+  CopyToWire(from.wanted_members, *to.mutable_wanted_members());
+}
+
+void FromWire(const wire::TransferRequest& from, transfer_request& to) {
+  to.sender = from.sender();
+  to.sender_data_centre = from.sender_data_centre();
+  DocumentsFromWire(from.documents(), to.documents);
+  MembersFromWire(from.members(), to.members);
+  CopyFromWire(from.wanted_documents(), to.wanted_documents);
+  CopyFromWire(from.wanted_members(), to.wanted_members);
+}
+
+void ToWire(const transfer_reply& from, wire::TransferReply& to) {
+  DocumentsToWire(from.documents, *to.mutable_documents());
+  MembersToWire(from.members, *to.mutable_members());
+}
+
+void FromWire(const wire::TransferReply& from, transfer_reply& to) {
+  DocumentsFromWire(from.documents(), to.documents);
+  MembersFromWire(from.members(), to.members);
+}
+
+void ToWire(const gather_request& from, wire::GatherRequest& to) {
+  to.set_sender(from.sender);
+  ToWire(from.scope, *to.mutable_scope());
+  to.set_service(from.service);
+  to.set_version(from.version);
+  to.set_budget_ms(static_cast<std::uint32_t>(from.budget.count()));
+}
+
+void FromWire(const wire::GatherRequest& from, gather_request& to) {
+  to = {from.sender(), FromWire(from.scope()), from.service(), from.version(),
+        milliseconds(from.budget_ms())};
+}
+
+void ToWire(const gather_reply& from, wire::GatherReply& to) {
+  for (const data_centre_status& each : from.data_centres) {
+    wire::DataCentreStatus& status = *to.add_data_centres();
+    status.set_region(each.region);
+    status.set_data_centre(each.data_centre);
+    status.set_in_force(each.in_force);
+    status.set_behind(each.behind);
+    status.set_refused(each.refused);
+    status.set_unheard(each.unheard);
+    status.set_identities(each.identities);
+    for (const laggard& slow : each.laggards) {
+      wire::Laggard& entry = *status.add_laggards();
+      entry.set_vm(slow.vm);
+      entry.set_reason(slow.reason);
+    }
+  }
+}
+
+void FromWire(const wire::GatherReply& from, gather_reply& to) {
+  for (const wire::DataCentreStatus& each : from.data_centres()) {
+    data_centre_status status{each.region(),  each.data_centre(), each.in_force(),   each.behind(),
+                              each.refused(), each.unheard(),     each.identities(), {}};
+    for (const wire::Laggard& slow : each.laggards()) {
+      status.laggards.push_back({slow.vm(), slow.reason()});
+    }
+    to.data_centres.push_back(std::move(status));
+  }
+}
+
+void ToWire(const fence_request& from, wire::FenceRequest& to) {
+  to.set_sender(from.sender);
+  to.set_request_id(from.request_id);
+  to.set_incarnation(from.incarnation);
+}
+
+void FromWire(const wire::FenceRequest& from, fence_request& to) {
+  to = {from.sender(), from.request_id(), from.incarnation()};
+}
+
+void ToWire(const fence_reply& from, wire::FenceReply& to) { to.set_fate(Number(from.fate)); }
+
+void FromWire(const wire::FenceReply& from, fence_reply& to) {
+  to.fate = Bounded(from.fate(), request_fate::kHanded);
+}
+
+}  // namespace catkinmoor::peer_internal
--- /dev/null
+++ b/src/peer/internal/convert.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "peer/generated/peer.pb.h"
+#include "peer/messages.h"
+
+namespace catkinmoor::peer_internal {
+
+/// Each pair converts a message to its wire form and back. FromWire leaves out records that are
+/// malformed, such as a text that does not decompress within the size of a document.
+void ToWire(const spread_request& from, wire::SpreadRequest& to);
+void ToWire(const spread_reply& from, wire::SpreadReply& to);
+void ToWire(const probe_request& from, wire::ProbeRequest& to);
+void ToWire(const probe_reply& from, wire::ProbeReply& to);
+void ToWire(const compare_request& from, wire::CompareRequest& to);
+void ToWire(const compare_reply& from, wire::CompareReply& to);
+void ToWire(const transfer_request& from, wire::TransferRequest& to);
+void ToWire(const transfer_reply& from, wire::TransferReply& to);
+void ToWire(const gather_request& from, wire::GatherRequest& to);
+void ToWire(const gather_reply& from, wire::GatherReply& to);
+void ToWire(const fence_request& from, wire::FenceRequest& to);
+void ToWire(const fence_reply& from, wire::FenceReply& to);
+
+void FromWire(const wire::SpreadRequest& from, spread_request& to);
+void FromWire(const wire::SpreadReply& from, spread_reply& to);
+void FromWire(const wire::ProbeRequest& from, probe_request& to);
+void FromWire(const wire::ProbeReply& from, probe_reply& to);
+void FromWire(const wire::CompareRequest& from, compare_request& to);
+void FromWire(const wire::CompareReply& from, compare_reply& to);
+void FromWire(const wire::TransferRequest& from, transfer_request& to);
+void FromWire(const wire::TransferReply& from, transfer_reply& to);
+void FromWire(const wire::GatherRequest& from, gather_request& to);
+void FromWire(const wire::GatherReply& from, gather_reply& to);
+void FromWire(const wire::FenceRequest& from, fence_request& to);
+void FromWire(const wire::FenceReply& from, fence_reply& to);
+
+}  // namespace catkinmoor::peer_internal
--- /dev/null
+++ b/src/peer/messages.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "document/document.h"
+#include "membership/member.h"
+
+namespace catkinmoor {
+
+/// How much of the fleet a receiver must see to.
+enum class spread_reach {
+  kWorld,       ///< Every region.
+  kRegion,      ///< The receiver's region.
+  kDataCentre,  ///< The receiver's data centre.
+  kSegment,     ///< The ring after the receiver, up to and including the member named.
+};
+
+/// What a message asks its receiver to cover besides itself.
+struct spread_scope {
+  spread_reach reach = spread_reach::kWorld;
+  std::string last;
+
+  friend bool operator==(const spread_scope&, const spread_scope&) = default;
+};
+
+/// Newer versions on their way through the fleet.
+struct spread_request {
+  std::string sender;
+  std::string sender_data_centre;
+  spread_scope scope;
+  std::vector<document_version> documents;
+  std::vector<member_record> members;
+
+  friend bool operator==(const spread_request&, const spread_request&) = default;
+};
+
+/// That the receiver holds everything sent that it did not refuse.
+struct spread_reply {
+  std::vector<std::string> refused_services;
+
+  friend bool operator==(const spread_reply&, const spread_reply&) = default;
+};
+
+/// Are you there, and do we hold the same?
+struct probe_request {
+  std::string sender;
+  std::uint64_t document_hash = 0;
+  std::uint64_t member_hash = 0;
+  std::string on_behalf_of;
+
+  friend bool operator==(const probe_request&, const probe_request&) = default;
+};
+
+struct probe_reply {
+  bool reached = true;
+  std::uint64_t document_hash = 0;
+  std::uint64_t member_hash = 0;
+
+  friend bool operator==(const probe_reply&, const probe_reply&) = default;
+};
+
+/// Name and version of one member record.
+struct member_summary {
+  std::string vm;
+  member_version version;
+
+  friend bool operator==(const member_summary&, const member_summary&) = default;
+};
+
+/// The hashes of every bucket, for finding out which differ.
+struct compare_request {
+  std::string sender;
+  std::vector<std::uint64_t> document_buckets;
+  std::vector<std::uint64_t> member_buckets;
+
+  friend bool operator==(const compare_request&, const compare_request&) = default;
+};
+
+/// What the receiver holds in the buckets that differ.
+struct compare_reply {
+  std::vector<std::uint32_t> document_buckets;
+  std::vector<std::uint32_t> member_buckets;
+  std::vector<document_summary> documents;
+  std::vector<member_summary> members;
+
+  friend bool operator==(const compare_reply&, const compare_reply&) = default;
+};
+
+/// Hands records over and asks for others by name.
+struct transfer_request {
+  std::string sender;
+  std::string sender_data_centre;
+  std::vector<document_version> documents;
+  std::vector<member_record> members;
+  std::vector<std::string> wanted_documents;
+  std::vector<std::string> wanted_members;
+
+  friend bool operator==(const transfer_request&, const transfer_request&) = default;
+};
+
+struct transfer_reply {
+  std::vector<document_version> documents;
+  std::vector<member_record> members;
+
+  friend bool operator==(const transfer_reply&, const transfer_reply&) = default;
+};
+
+/// Asks how far a version of a document has come in a scope.
+struct gather_request {
+  std::string sender;
+  spread_scope scope;
+  std::string service;
+  std::uint64_t version = 0;
+  milliseconds budget{0};
+
+  friend bool operator==(const gather_request&, const gather_request&) = default;
+};
+
+/// A daemon that holds a version back, and why.
+struct laggard {
+  std::string vm;
+  std::string reason;
+
+  friend bool operator==(const laggard&, const laggard&) = default;
+};
+
+/// Counts of one data centre. Identities adds up a hash of each vm that answered, so that the asker
+/// can tell whether exactly the members it knows were counted. The named laggards are a bounded
+/// sample.
+struct data_centre_status {
+  std::string region;
+  std::string data_centre;
+  std::uint32_t in_force = 0;
+  std::uint32_t behind = 0;
+  std::uint32_t refused = 0;
+  std::uint32_t unheard = 0;
+  std::uint64_t identities = 0;
+  std::vector<laggard> laggards;
+
+  friend bool operator==(const data_centre_status&, const data_centre_status&) = default;
+};
+
+struct gather_reply {
+  std::vector<data_centre_status> data_centres;
+
+  friend bool operator==(const gather_reply&, const gather_reply&) = default;
+};
+
+/// Asks a gate what became of a request, and forbids it to hand the request on from now.
+struct fence_request {
+  std::string sender;
+  std::string request_id;
+  std::uint64_t incarnation = 0;
+
+  friend bool operator==(const fence_request&, const fence_request&) = default;
+};
+
+/// What a gate knows of a request.
+enum class request_fate { kUnknown, kNeverHanded, kHanded };
+
+struct fence_reply {
+  request_fate fate = request_fate::kUnknown;
+
+  friend bool operator==(const fence_reply&, const fence_reply&) = default;
+};
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/peer/peer_transport.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "framework/base/clock.h"
+#include "framework/base/endpoint.h"
+#include "framework/base/result.h"
+#include "peer/messages.h"
+
+namespace catkinmoor {
+
+/// Sends messages to other daemons. Every call ends within its timeout, with an error that names
+/// the step and the peer if no answer came.
+class peer_client {
+ public:
+  virtual ~peer_client() = default;
+
+  virtual boost::asio::awaitable<result<spread_reply>> Spread(endpoint, spread_request,
+                                                              milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<probe_reply>> Probe(endpoint, probe_request,
+                                                            milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<compare_reply>> Compare(endpoint, compare_request,
+                                                                milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<transfer_reply>> Transfer(endpoint, transfer_request,
+                                                                  milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<gather_reply>> Gather(endpoint, gather_request,
+                                                              milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
+                                                            milliseconds timeout) = 0;
+};
+
+/// Answers the messages of other daemons.
+class peer_service {
+ public:
+  virtual ~peer_service() = default;
+
+  virtual boost::asio::awaitable<spread_reply> OnSpread(spread_request message) = 0;
+  virtual boost::asio::awaitable<probe_reply> OnProbe(probe_request message) = 0;
+  virtual boost::asio::awaitable<compare_reply> OnCompare(compare_request message) = 0;
+  virtual boost::asio::awaitable<transfer_reply> OnTransfer(transfer_request message) = 0;
+  virtual boost::asio::awaitable<gather_reply> OnGather(gather_request message) = 0;
+  virtual boost::asio::awaitable<fence_reply> OnFence(fence_request message) = 0;
+};
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/proxy/internal/call_headers.cc
@@ -0,0 +1,39 @@
+#include "proxy/internal/call_headers.h"
+
+#include <charconv>
+
+namespace catkinmoor::proxy_internal {
+namespace {
+
+/// Takes the number before the next comma off a list.
+std::optional<std::uint32_t> TakeNumber(std::string_view& list) {
+  const auto comma = list.find(',');
+  const auto number = ParseNumber(list.substr(0, comma));
+  list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+  if (!number || *number < 0 || *number > UINT32_MAX) return std::nullopt;
+  return static_cast<std::uint32_t>(*number);
+}
+
+}  // namespace
+
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+std::string FormatLoad(const reported_load& load) {
+  return std::to_string(load.in_use) + "," + std::to_string(load.slots) + "," +
+         std::to_string(load.queued);
+}
+
+std::optional<reported_load> ParseLoad(std::string_view text) {
+  const auto in_use = TakeNumber(text);
+  const auto slots = TakeNumber(text);
+  const auto queued = TakeNumber(text);
+  if (!in_use || !slots || !queued) return std::nullopt;
+  return reported_load{*in_use, *slots, *queued};
+}
+
+}  // namespace catkinmoor::proxy_internal
--- /dev/null
+++ b/src/proxy/internal/gate_proxy.cc
@@ -0,0 +1,374 @@
+#include "proxy/gate_proxy.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+#include "framework/logging/log.h"
+#include "proxy/internal/call_headers.h"
+#include "proxy/internal/slot_controller.h"
+#include "proxy/internal/stream_http.h"
+
+namespace catkinmoor {
+
+using namespace proxy_internal;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr milliseconds kHandedRetention{30'000};
+constexpr milliseconds kLedgerSweep{1'000};
+constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
+
+own_answer NotRun(unsigned status, std::string reason, std::string message) {
+  return {status, kNotRun, reason, {error_kind::kRefused, "gate", "", std::move(message)}};
+}
+
+own_answer Unknown(unsigned status, std::string reason, const std::string& peer,
+                   std::string message) {
+  return {status,
+          kUnknown,
+          std::move(reason),
+          {error_kind::kUnavailable, "target", peer, std::move(message)}};
+}
+
+unsigned StatusFor(refusal reason) { return reason == refusal::kQueueFull ? 429 : 503; }
+
+}  // namespace
+
+class gate_proxy::impl : public std::enable_shared_from_this<gate_proxy::impl> {
+ public:
+  impl(worker_pool& workers, gate_board board, proxy_settings settings)
+      : workers_(workers),
+        board_(board),
+        settings_(settings),
+        slots_(std::make_shared<slot_controller>()) {
+    for (std::size_t i = 0; i < workers.Size(); ++i) pools_.emplace_back(settings_);
+  }
+
+  result<done> Listen(const endpoint& where) {
+    auto bound = Bind(workers_.Context(0), where);
+    if (!Ok(bound)) return Failure(bound);
+    acceptor_ = std::move(Value(bound));
+    asio::co_spawn(workers_.Context(0), Accept(), asio::detached);
+    asio::co_spawn(workers_.Context(0), SweepLedger(), asio::detached);
+    return done{};
+  }
+
+  void SetTarget(const endpoint& where, const target_announcement& target) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      target_ = {where, target};
+    }
+    slots_->SetSlots(target.state == target_state::kReady ? target.slots : 0);
+  }
+
+  void RemoveTarget() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      target_.reset();
+    }
+    slots_->SetSlots(0);
+  }
+
+  void Drain() { slots_->Drain(); }
+
+  void Close() {
+    closing_ = true;
+    asio::post(workers_.Context(0), [self = shared_from_this()] {
+      beast::error_code ignored;
+      if (self->acceptor_) self->acceptor_->close(ignored);
+    });
+  }
+
+  std::size_t Active() const { return active_; }
+
+  void ClearPools() {
+    for (connection_pool& each : pools_) each.Clear();
+  }
+
+  request_fate Fence(const fence_request& message) {
+    if (message.incarnation != board_.self.Get().version.incarnation) return request_fate::kUnknown;
+    return board_.ledger.Fence(message.request_id, Now()) == ledger_fate::kHanded
+               ? request_fate::kHanded
+               : request_fate::kNeverHanded;
+  }
+
+ private:
+  struct present_target {
+    endpoint where;
+    target_announcement announced;
+  };
+
+  /// Counts a request as in progress.
+  struct activity {
+    explicit activity(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
+    ~activity() { --count; }
+    activity(const activity&) = delete;
+    activity& operator=(const activity&) = delete;
+    std::atomic<std::size_t>& count;
+  };
+
+  asio::awaitable<void> Accept() {
+    const auto self = shared_from_this();
+    while (!closing_) {
+      const std::size_t index = workers_.Next();
+      auto [failed, socket] =
+          co_await acceptor_->async_accept(workers_.Context(index).get_executor(), kAwait);
+      if (closing_) co_return;
+      if (failed) continue;
+      beast::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      auto entry = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+      asio::co_spawn(workers_.Context(index), Serve(self, index, std::move(entry)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> SweepLedger() {
+    const auto self = shared_from_this();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!closing_) {
+      timer.expires_after(kLedgerSweep);
+      co_await timer.async_wait(kAwait);
+      board_.ledger.Expire(Now());
+    }
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<impl> self, std::size_t worker,
+                                     connection_ptr entry) {
+    bool keep = true;
+    while (keep) {
+      request_parser parser;
+      const read_result read = co_await ReadRequestHeader(*entry, parser, self->settings_);
+      if (read.what == read_outcome::kGone) co_return;
+      if (read.what == read_outcome::kMalformed) {
+        co_await SendOwnAnswer(*entry, read.answer, false, false, self->settings_.progress_timeout);
+        break;
+      }
+      keep = co_await self->HandleCall(worker, *entry, parser);
+    }
+    beast::error_code ignored;
+    entry->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+
+  /// Checks that a call is meant for this daemon and the target now behind it.
+  std::optional<own_answer> Mismatch(const std::optional<gate_call>& call,
+                                     const std::optional<present_target>& target) const {
+    if (!call) return NotRun(400, "malformed-call", "the call's headers are missing or malformed");
+    if (call->incarnation != board_.self.Get().version.incarnation) {
+      return NotRun(503, "other-incarnation", "the call is meant for an earlier daemon");
+    }
+    if (!target) return NotRun(503, "no-target", "there is no target");
+    const target_announcement& present = target->announced;
+    if (present.service != call->service || present.instance != call->instance) {
+      return NotRun(503, "other-target", "the target is another one now");
+    }
+    if (present.state != target_state::kReady) {
+      return NotRun(503, "draining", "the target takes no new work");
+    }
+    return std::nullopt;
+  }
+
+  std::optional<present_target> Target() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return target_;
+  }
+
+  /// Refuses a call, and keeps the connection where its body is short enough to be read past.
+  asio::awaitable<bool> Refuse(connection& entry, request_parser& parser, own_answer answer) {
+    board_.metrics.Count("catkinmoor_gate_refusals_total", {{"reason", answer.reason}});
+    const bool head = parser.get().method() == bhttp::verb::head;
+    const bool waiting = !parser.get()[bhttp::field::expect].empty();
+    bool whole = false;
+    if (!waiting) whole = co_await DropBody(entry, parser, settings_.progress_timeout);
+    co_return co_await SendOwnAnswer(entry, answer, whole && parser.keep_alive() && !closing_, head,
+                                     settings_.progress_timeout);
+  }
+
+  asio::awaitable<bool> HandleCall(std::size_t worker, connection& entry, request_parser& parser) {
+    const activity counted(active_);
+    const auto call = ReadCall(parser.get());
+    auto target = Target();
+    if (auto mismatch = Mismatch(call, target)) {
+      co_return co_await Refuse(entry, parser, std::move(*mismatch));
+    }
+    const time_point deadline = Now() + call->deadline;
+    admission_request request{0, call->kind, call->route, call->concurrency, call->queue, deadline};
+    const auto place = std::make_shared<slot_controller::place>(entry.stream.get_executor());
+    admission_decision decision;
+    {
+      const disconnect_watch watch(entry, [this, place] { slots_->Abandon(place); });
+      decision = co_await slots_->Acquire(std::move(request), place);
+    }
+    if (decision.what == admission::kRefuse) {
+      const std::string reason = RefusalName(decision.reason);
+      co_return co_await Refuse(entry, parser,
+                                NotRun(StatusFor(decision.reason), reason, "not admitted"));
+    }
+    const slot_controller::lease slot(slots_, call->route);
+    // The target may have changed while the call waited.
+    target = Target();
+    if (auto mismatch = Mismatch(call, target)) {
+      co_return co_await Refuse(entry, parser, std::move(*mismatch));
+    }
+    co_return co_await HandOn(worker, entry, parser, *call, *target, deadline);
+  }
+
+  asio::awaitable<result<connection_ptr>> Reach(std::size_t worker, endpoint where) {
+    if (auto idle = pools_[worker].TakeIdle(where)) co_return std::move(idle);
+    co_return co_await Connect(where, settings_.connect_timeout);
+  }
+
+  asio::awaitable<bool> HandOn(std::size_t worker, connection& entry, request_parser& parser,
+                               gate_call call, present_target target, time_point deadline) {
+    auto reached = co_await Reach(worker, target.where);
+    if (!Ok(reached)) {
+      co_return co_await Refuse(entry, parser,
+                                NotRun(503, "no-target", Describe(Failure(reached))));
+    }
+    connection_ptr backend = std::move(Value(reached));
+    const bool expects = !parser.get()[bhttp::field::expect].empty();
+    if (expects) {
+      const bool told = co_await SendContinue(entry, settings_.progress_timeout);
+      if (!told) co_return false;
+    }
+    const milliseconds retention = call.deadline + kHandedRetention;
+    const hand_outcome handed = board_.ledger.TryHand(call.attempt, retention, Now());
+    if (handed == hand_outcome::kFenced) {
+      co_return co_await Refuse(entry, parser, NotRun(503, "fenced", "the call was given up"));
+    }
+    if (handed == hand_outcome::kDuplicate) {
+      co_return co_await Refuse(entry, parser,
+                                Unknown(409, "duplicate", "", "the call was handed on before"));
+    }
+    const bool head = parser.get().method() == bhttp::verb::head;
+    PrepareRequest(parser.get(), call, deadline);
+    const transfer_outcome sent =
+        co_await Transfer<true>(entry, parser, *backend, settings_.progress_timeout);
+    if (sent == transfer_outcome::kReadFailed) {
+      Abort(*backend);
+      co_return false;
+    }
+    co_return co_await Answer(worker, entry, std::move(backend), target.where, head,
+                              parser.keep_alive() && parser.is_done(), deadline);
+  }
+
+  static void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) {
+    const std::string depth(message[kDepthHeader]);
+    RemoveHopByHop(message);
+    RemoveOwnHeaders(message);
+    message.erase(bhttp::field::expect);
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - Now());
+    message.set(kDeadlineHeader, std::to_string(left.count()));
+    message.set(kAttemptHeader, call.attempt);
+    if (!depth.empty()) message.set(kDepthHeader, depth);
+    message.version(11);
+    message.keep_alive(true);
+  }
+
+  /// Reads the target's answer and sends it on to the entry.
+  asio::awaitable<bool> Answer(std::size_t worker, connection& entry, connection_ptr backend,
+                               endpoint where, bool head, bool keep, time_point deadline) {
+    std::optional<response_parser> parser;
+    beast::error_code failed;
+    bool entry_gone = false;
+    {
+      const disconnect_watch watch(entry, [&] {
+        entry_gone = true;
+        backend->stream.cancel();
+      });
+      do {
+        parser.emplace();
+        parser->body_limit(boost::none);
+        parser->header_limit(kAnswerHeaderBytes);
+        parser->skip(head);
+        backend->stream.expires_at(deadline);
+        auto [read_failed, count] =
+            co_await bhttp::async_read_header(backend->stream, backend->buffer, *parser, kAwait);
+        failed = read_failed;
+      } while (!failed && parser->get().result_int() < 200);
+    }
+    if (failed) {
+      Abort(*backend);
+      if (entry_gone) co_return false;
+      const bool late = failed == beast::error::timeout;
+      board_.metrics.Count("catkinmoor_gate_lost_total", {{"late", late ? "true" : "false"}});
+      co_return co_await SendOwnAnswer(entry,
+                                       Unknown(late ? 504 : 502, late ? "deadline" : "target-lost",
+                                               ToString(where), failed.message()),
+                                       keep, head, settings_.progress_timeout);
+    }
+    const bool reusable = parser->keep_alive();
+    PrepareAnswer(*parser, keep);
+    transfer_outcome sent = transfer_outcome::kWhole;
+    if (head) {
+      sent = co_await SendHeader(entry, *parser);
+    } else {
+      sent = co_await Transfer<false>(*backend, *parser, entry, settings_.progress_timeout);
+    }
+    if (sent != transfer_outcome::kWhole) {
+      Abort(*backend);
+      Abort(entry);
+      co_return false;
+    }
+    if (reusable) pools_[worker].Return(where, std::move(backend));
+    co_return keep;
+  }
+
+  asio::awaitable<transfer_outcome> SendHeader(connection& to, response_parser& parser) {
+    bhttp::response_serializer<bhttp::buffer_body> serializer(parser.get());
+    to.stream.expires_after(settings_.progress_timeout);
+    auto [failed, count] = co_await bhttp::async_write_header(to.stream, serializer, kAwait);
+    co_return failed ? transfer_outcome::kWriteFailed : transfer_outcome::kWhole;
+  }
+
+  void PrepareAnswer(response_parser& parser, bool keep) const {
+    response_message& message = parser.get();
+    const bool unframed = parser.need_eof();
+    RemoveHopByHop(message);
+    RemoveOwnHeaders(message);
+    if (unframed) message.chunked(true);
+    message.set(kOutcomeHeader, kRan);
+    message.set(kLoadHeader, FormatLoad(slots_->Load()));
+    message.version(11);
+    message.keep_alive(keep);
+  }
+
+  worker_pool& workers_;
+  gate_board board_;
+  proxy_settings settings_;
+  std::shared_ptr<slot_controller> slots_;
+  std::deque<connection_pool> pools_;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
+  mutable std::mutex mutex_;
+  std::optional<present_target> target_;
+  std::atomic<std::size_t> active_ = 0;
+  std::atomic<bool> closing_ = false;
+};
+
+gate_proxy::gate_proxy(worker_pool& workers, gate_board board, proxy_settings settings)
+    : impl_(std::make_shared<impl>(workers, board, settings)) {
+  workers.OnStopped([shared = impl_] { shared->ClearPools(); });
+}
+
+gate_proxy::~gate_proxy() = default;
+
+result<done> gate_proxy::Listen(const endpoint& where) { return impl_->Listen(where); }
+
+void gate_proxy::SetTarget(const endpoint& where, const target_announcement& target) {
+  impl_->SetTarget(where, target);
+}
+
+void gate_proxy::RemoveTarget() { impl_->RemoveTarget(); }
+
+void gate_proxy::Drain() { impl_->Drain(); }
+
+void gate_proxy::Close() { impl_->Close(); }
+
+std::size_t gate_proxy::Active() const { return impl_->Active(); }
+
+request_fate gate_proxy::Fence(const fence_request& message) { return impl_->Fence(message); }
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/proxy/internal/stream_http.cc
@@ -0,0 +1,304 @@
+#include "proxy/internal/stream_http.h"
+
+#include <sys/socket.h>
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "proxy/internal/call_headers.h"
+
+namespace catkinmoor::proxy_internal {
+namespace {
+
+constexpr std::size_t kBlockBytes = 64U << 10U;
+constexpr std::size_t kDropBytes = 256U << 10U;
+
+bool IsMalformed(const beast::error_code& failed) {
+  return failed.category() == make_error_code(bhttp::error::bad_method).category() &&
+         failed != bhttp::error::end_of_stream && failed != bhttp::error::partial_message;
+}
+
+own_answer AnswerFor(const beast::error_code& failed) {
+  own_answer answer;
+  answer.status = 400;
+  if (failed == bhttp::error::header_limit) answer.status = 431;
+  if (failed == bhttp::error::body_limit) answer.status = 413;
+  answer.reason = "malformed";
+  answer.failure = {error_kind::kInvalid, "read request", "", failed.message()};
+  return answer;
+}
+
+bool StartsWith(beast::string_view text, std::string_view prefix) {
+  return text.size() >= prefix.size() &&
+         beast::iequals(text.substr(0, prefix.size()), {prefix.data(), prefix.size()});
+}
+
+/// Moves blocks from the parser's stream to the serializer's until both are done.
+template <bool kIsRequest>
+asio::awaitable<transfer_outcome> TransferBlocks(
+    connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, connection& to,
+    bhttp::serializer<kIsRequest, bhttp::buffer_body>& serializer, milliseconds progress) {
+  auto& message = parser.get();
+  std::vector<char> block;
+  do {
+    message.body().data = nullptr;
+    message.body().size = 0;
+    message.body().more = false;
+    if (!parser.is_done()) {
+      if (block.empty()) block.resize(kBlockBytes);
+      message.body().data = block.data();
+      message.body().size = block.size();
+      from.stream.expires_after(progress);
+      auto [failed, count] =
+          co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
+      if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kReadFailed;
+      message.body().size = block.size() - message.body().size;
+      message.body().data = block.data();
+      message.body().more = !parser.is_done();
+    }
+    to.stream.expires_after(progress);
+    auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
+    if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
+  } while (!parser.is_done() || !serializer.is_done());
+  co_return transfer_outcome::kWhole;
+}
+
+}  // namespace
+
+void RemoveHopByHop(bhttp::fields& fields) {
+  std::vector<std::string> listed;
+  for (const auto& token : bhttp::token_list(fields[bhttp::field::connection])) {
+    listed.emplace_back(token);
+  }
+  for (const std::string& name : listed) fields.erase(name);
+  for (const auto name :
+       {bhttp::field::connection, bhttp::field::keep_alive, bhttp::field::proxy_authenticate,
+        bhttp::field::proxy_authorization, bhttp::field::proxy_connection, bhttp::field::te,
+        bhttp::field::upgrade}) {
+    fields.erase(name);
+  }
+}
+
+void RemoveOwnHeaders(bhttp::fields& fields) {
+  for (auto next = fields.begin(); next != fields.end();) {
+    if (StartsWith(next->name_string(), kHeaderPrefix)) {
+      next = fields.erase(next);
+    } else {
+      ++next;
+    }
+  }
+}
+
+asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
+                                               const proxy_settings& settings) {
+  parser.header_limit(static_cast<std::uint32_t>(settings.header_bytes));
+  parser.body_limit(static_cast<std::uint64_t>(settings.body_bytes));
+  // The wait for a first byte may be long; a header that has begun must not dawdle.
+  if (from.buffer.size() == 0) {
+    from.stream.expires_after(settings.idle_timeout);
+    auto [idle_failed, count] =
+        co_await from.stream.async_read_some(from.buffer.prepare(kBlockBytes / 16), kAwait);
+    if (idle_failed) co_return read_result{};
+    from.buffer.commit(count);
+  }
+  from.stream.expires_after(settings.header_timeout);
+  auto [failed, count] =
+      co_await bhttp::async_read_header(from.stream, from.buffer, parser, kAwait);
+  if (!failed) co_return read_result{read_outcome::kRequest, {}};
+  if (failed == beast::error::timeout) {
+    own_answer late = AnswerFor(failed);
+    late.status = 408;
+    late.reason = "slow-header";
+    co_return read_result{read_outcome::kMalformed, std::move(late)};
+  }
+  if (!IsMalformed(failed)) co_return read_result{};
+  co_return read_result{read_outcome::kMalformed, AnswerFor(failed)};
+}
+
+asio::awaitable<bool> SendOwnAnswer(connection& to, const own_answer& answer, bool keep_alive,
+                                    bool head, milliseconds timeout) {
+  const boost::json::object failure{{"kind", KindName(answer.failure.kind)},
+                                    {"step", answer.failure.step},
+                                    {"peer", answer.failure.peer},
+                                    {"message", answer.failure.message}};
+  bhttp::response<bhttp::string_body> message(static_cast<bhttp::status>(answer.status), 11);
+  message.set(bhttp::field::content_type, "application/json");
+  message.set(kOutcomeHeader, answer.outcome);
+  if (!answer.reason.empty()) message.set(kReasonHeader, answer.reason);
+  if (answer.status == 503) message.set(bhttp::field::retry_after, "1");
+  message.body() =
+      boost::json::serialize(boost::json::object{{"outcome", answer.outcome}, {"error", failure}}) +
+      "\n";
+  message.keep_alive(keep_alive);
+  message.prepare_payload();
+  if (head) message.body().clear();
+  to.stream.expires_after(timeout);
+  auto [failed, count] = co_await bhttp::async_write(to.stream, message, kAwait);
+  co_return !failed && keep_alive;
+}
+
+template <bool kIsRequest>
+asio::awaitable<transfer_outcome> Transfer(connection& from,
+                                           bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                           connection& to, milliseconds progress) {
+  auto& message = parser.get();
+  bhttp::serializer<kIsRequest, bhttp::buffer_body> serializer(message);
+  // A body that has not begun to arrive must not hold back the header.
+  if (!parser.is_done() && from.buffer.size() == 0) {
+    message.body().data = nullptr;
+    message.body().more = true;
+    serializer.split(true);
+    to.stream.expires_after(progress);
+    auto [failed, count] = co_await bhttp::async_write_header(to.stream, serializer, kAwait);
+    if (failed) co_return transfer_outcome::kWriteFailed;
+  }
+  co_return co_await TransferBlocks<kIsRequest>(from, parser, to, serializer, progress);
+}
+
+template asio::awaitable<transfer_outcome> Transfer<true>(connection&,
+                                                          bhttp::parser<true, bhttp::buffer_body>&,
+                                                          connection&, milliseconds);
+template asio::awaitable<transfer_outcome> Transfer<false>(
+    connection&, bhttp::parser<false, bhttp::buffer_body>&, connection&, milliseconds);
+
+asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
+                                               connection& to, milliseconds progress) {
+  bhttp::request_serializer<bhttp::buffer_body> serializer(parser.get());
+  serializer.split(true);
+  parser.get().body().data = nullptr;
+  parser.get().body().more = true;
+  // The serializer is taken past the header without sending it a second time.
+  beast::error_code failed;
+  while (!serializer.is_header_done()) {
+    serializer.next(failed, [&](beast::error_code&, const auto& buffers) {
+      serializer.consume(beast::buffer_bytes(buffers));
+    });
+    if (failed) co_return transfer_outcome::kWriteFailed;
+  }
+  co_return co_await TransferBlocks<true>(from, parser, to, serializer, progress);
+}
+
+asio::awaitable<bool> ReadWholeBody(connection& from, request_parser& parser, std::size_t bound,
+                                    std::string& body, milliseconds progress) {
+  while (!parser.is_done()) {
+    const std::size_t used = body.size();
+    if (used > bound) co_return false;
+    const std::size_t room = std::min(bound + 1 - used, kBlockBytes / 4);
+    if (room == 0) co_return false;
+    body.resize(used + room);
+    parser.get().body().data = body.data() + used;
+    parser.get().body().size = room;
+    from.stream.expires_after(progress);
+    auto [failed, count] =
+        co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
+    body.resize(used + room - parser.get().body().size);
+    if (failed && failed != bhttp::error::need_buffer) co_return false;
+  }
+  co_return body.size() <= bound;
+}
+
+asio::awaitable<bool> DropBody(connection& from, request_parser& parser, milliseconds progress) {
+  std::string dropped;
+  co_return co_await ReadWholeBody(from, parser, kDropBytes, dropped, progress);
+}
+
+asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout) {
+  bhttp::response<bhttp::empty_body> message(bhttp::status::continue_, 11);
+  to.stream.expires_after(timeout);
+  auto [failed, count] = co_await bhttp::async_write(to.stream, message, kAwait);
+  co_return !failed;
+}
+
+void Abort(connection& broken) {
+  beast::error_code ignored;
+  broken.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  broken.stream.socket().close(ignored);
+}
+
+bool IsStale(connection& idle) {
+  char byte = 0;
+  const auto count =
+      ::recv(idle.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool quiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return !quiet || idle.buffer.size() != 0;
+}
+
+disconnect_watch::disconnect_watch(connection& watched, std::function<void()> on_gone)
+    : watched_(watched), active_(std::make_shared<bool>(true)) {
+  watched_.stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [this, active = active_, on_gone = std::move(on_gone)](const beast::error_code& failed) {
+        if (!*active || failed) return;
+        char byte = 0;
+        const auto count =
+            ::recv(watched_.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool would_wait = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (count <= 0 && !would_wait) on_gone();
+      });
+}
+
+disconnect_watch::~disconnect_watch() {
+  *active_ = false;
+  beast::error_code ignored;
+  watched_.stream.socket().cancel(ignored);
+}
+
+asio::awaitable<result<connection_ptr>> Connect(endpoint peer, milliseconds timeout) {
+  beast::error_code bad_address;
+  const auto address = asio::ip::make_address(peer.address, bad_address);
+  if (bad_address) {
+    co_return error{error_kind::kInvalid, "connect", ToString(peer), bad_address.message()};
+  }
+  auto opened = std::make_unique<connection>(beast::tcp_stream(co_await asio::this_coro::executor));
+  opened->stream.expires_after(timeout);
+  const asio::ip::tcp::endpoint remote(address, peer.port);
+  auto [failed] = co_await opened->stream.async_connect(remote, kAwait);
+  if (failed) {
+    const bool late = failed == beast::error::timeout;
+    co_return error{late ? error_kind::kTimeout : error_kind::kUnavailable, "connect",
+                    ToString(peer), failed.message()};
+  }
+  beast::error_code ignored;
+  opened->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  co_return std::move(opened);
+}
+
+connection_ptr connection_pool::TakeIdle(const endpoint& peer) {
+  const auto found = idle_.find(peer);
+  if (found == idle_.end()) return nullptr;
+  auto& held = found->second;
+  const time_point oldest = Now() - settings_.idle_timeout / 2;
+  while (!held.empty()) {
+    idle_connection last = std::move(held.back());
+    held.pop_back();
+    if (last.since > oldest && !IsStale(*last.held)) return std::move(last.held);
+  }
+  return nullptr;
+}
+
+void connection_pool::Return(const endpoint& peer, connection_ptr idle) {
+  auto& held = idle_[peer];
+  if (static_cast<std::int64_t>(held.size()) >= settings_.pool_idle) return;
+  idle->stream.expires_never();
+  held.push_back({std::move(idle), Now()});
+}
+
+result<std::unique_ptr<asio::ip::tcp::acceptor>> Bind(asio::io_context& context,
+                                                      const endpoint& where) {
+  beast::error_code failed;
+  const auto address = asio::ip::make_address(where.address, failed);
+  auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(context);
+  if (!failed) acceptor->open(asio::ip::tcp::v4(), failed);
+  if (!failed) acceptor->set_option(asio::socket_base::reuse_address(true), failed);
+  if (!failed) acceptor->bind({address, where.port}, failed);
+  if (!failed) acceptor->listen(asio::socket_base::max_listen_connections, failed);
+  if (failed) {
+    return error{error_kind::kUnavailable, "listen", ToString(where), failed.message()};
+  }
+  return acceptor;
+}
+
+}  // namespace catkinmoor::proxy_internal
--- /dev/null
+++ b/src/proxy/internal/stream_http.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "framework/base/clock.h"
+#include "framework/base/endpoint.h"
+#include "framework/base/result.h"
+#include "proxy/proxy_settings.h"
+
+namespace catkinmoor::proxy_internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+inline constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
+
+using request_parser = bhttp::request_parser<bhttp::buffer_body>;
+using response_parser = bhttp::response_parser<bhttp::buffer_body>;
+using request_message = bhttp::request<bhttp::buffer_body>;
+using response_message = bhttp::response<bhttp::buffer_body>;
+
+/// One TCP connection with the bytes read ahead from it.
+struct connection {
+  explicit connection(beast::tcp_stream to) : stream(std::move(to)) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+/// An answer that this daemon makes itself.
+struct own_answer {
+  unsigned status = 503;
+  const char* outcome = "not-run";
+  std::string reason;
+  error failure;
+};
+
+/// Removes fields that concern one connection only, those listed in Connection included.
+void RemoveHopByHop(bhttp::fields& fields);
+
+/// Removes the fields that daemons use among themselves.
+void RemoveOwnHeaders(bhttp::fields& fields);
+
+/// Reads a request's header into the parser. Yields the answer to give when it is malformed, and
+/// nothing with the stream closed when the peer went away or stayed idle.
+enum class read_outcome { kRequest, kMalformed, kGone };
+struct read_result {
+  read_outcome what = read_outcome::kGone;
+  own_answer answer;
+};
+asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
+                                               const proxy_settings& settings);
+
+/// Sends an answer of our own. False when the connection cannot be used further.
+asio::awaitable<bool> SendOwnAnswer(connection& to, const own_answer& answer, bool keep_alive,
+                                    bool head, milliseconds timeout);
+
+/// How far the transfer of a body came.
+enum class transfer_outcome { kWhole, kReadFailed, kWriteFailed };
+
+/// Sends a message whose header stands in the parser, and its body as it arrives, never holding
+/// more than one block of it. A message that breaks off is never ended as if it were whole.
+template <bool kIsRequest>
+asio::awaitable<transfer_outcome> Transfer(connection& from,
+                                           bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                           connection& to, milliseconds progress);
+
+extern template asio::awaitable<transfer_outcome> Transfer<true>(
+    connection&, bhttp::parser<true, bhttp::buffer_body>&, connection&, milliseconds);
+extern template asio::awaitable<transfer_outcome> Transfer<false>(
+    connection&, bhttp::parser<false, bhttp::buffer_body>&, connection&, milliseconds);
+
+/// Sends the body alone, for a request whose header has been sent already.
+asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
+                                               connection& to, milliseconds progress);
+
+/// Reads the rest of a body into a string, up to a bound. False when it is longer or breaks off.
+asio::awaitable<bool> ReadWholeBody(connection& from, request_parser& parser, std::size_t bound,
+                                    std::string& body, milliseconds progress);
+
+/// Reads and drops the rest of a request's body, so that the connection can be used again. False
+/// when that is not worth while.
+asio::awaitable<bool> DropBody(connection& from, request_parser& parser, milliseconds progress);
+
+/// Sends "100 Continue".
+asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout);
+
+/// Closes a connection so that the peer sees it broken rather than ended.
+void Abort(connection& broken);
+
+/// Whether a peer has closed an idle connection, or sent bytes nobody asked for.
+bool IsStale(connection& idle);
+
+/// Calls back when the peer closes a connection while nothing is being read from it. Ends with its
+/// own life.
+class disconnect_watch {
+ public:
+  disconnect_watch(connection& watched, std::function<void()> on_gone);
+  ~disconnect_watch();
+  disconnect_watch(const disconnect_watch&) = delete;
+  disconnect_watch& operator=(const disconnect_watch&) = delete;
+
+ private:
+  connection& watched_;
+  std::shared_ptr<bool> active_;
+};
+
+/// Opens a connection. Fails with kUnavailable or kTimeout.
+asio::awaitable<result<connection_ptr>> Connect(endpoint peer, milliseconds timeout);
+
+/// Idle connections of one worker, by peer. Used on the worker's thread only.
+class connection_pool {
+ public:
+  explicit connection_pool(const proxy_settings& settings) : settings_(settings) {}
+
+  /// An idle connection that the peer has not closed, or null.
+  connection_ptr TakeIdle(const endpoint& peer);
+  void Return(const endpoint& peer, connection_ptr idle);
+
+  /// Closes all idle connections.
+  void Clear() { idle_.clear(); }
+
+ private:
+  struct idle_connection {
+    connection_ptr held;
+    time_point since;
+  };
+  const proxy_settings& settings_;
+  std::map<endpoint, std::vector<idle_connection>> idle_;
+};
+
+/// Binds a listening socket.
+result<std::unique_ptr<asio::ip::tcp::acceptor>> Bind(asio::io_context& context,
+                                                      const endpoint& where);
+
+}  // namespace catkinmoor::proxy_internal
--- /dev/null
+++ b/src/routing/internal/retry_policy.cc
@@ -0,0 +1,50 @@
+#include "routing/retry_policy.h"
+
+#include <algorithm>
+
+namespace catkinmoor {
+namespace {
+
+/// The most retries that can be saved up, in seconds of the least rate or in first tries.
+constexpr double kSavedSeconds = 5;
+constexpr double kSavedTries = 100;
+
+double Capacity(const retry_budget_settings& settings) {
+  return std::max(1.0, kSavedSeconds * settings.least_per_second + kSavedTries * settings.ratio);
+}
+
+}  // namespace
+
+void retry_budget::Refill(bucket& of, const retry_budget_settings& settings, time_point now) {
+  if (of.refilled == time_point{}) {
+    of.tokens = settings.least_per_second;
+  } else {
+    const double seconds = std::chrono::duration<double>(now - of.refilled).count();
+    of.tokens += std::max(0.0, seconds) * settings.least_per_second;
+  }
+  of.tokens = std::min(of.tokens, Capacity(settings));
+  of.refilled = now;
+}
+
+void retry_budget::OnFirstTry(const std::string& service, const retry_budget_settings& settings,
+                              time_point now) {
+  buckets_.With(service, [&](auto& entries) {
+    bucket& own = entries[service];
+    Refill(own, settings, now);
+    own.tokens = std::min(own.tokens + settings.ratio, Capacity(settings));
+    return 0;
+  });
+}
+
+bool retry_budget::Take(const std::string& service, const retry_budget_settings& settings,
+                        time_point now) {
+  return buckets_.With(service, [&](auto& entries) {
+    bucket& own = entries[service];
+    Refill(own, settings, now);
+    if (own.tokens < 1) return false;
+    own.tokens -= 1;
+    return true;
+  });
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/routing/internal/target_selector.cc
@@ -0,0 +1,119 @@
+#include "routing/target_selector.h"
+
+#include <algorithm>
+
+#include "framework/base/digest.h"
+
+namespace catkinmoor {
+namespace {
+
+constexpr milliseconds kReportAge{2'000};
+constexpr double kQueuePenalty = 2.0;
+constexpr double kLeastShare = 0.05;
+constexpr std::size_t kSubset = 16;
+
+bool HasLabels(const label_map& present, const label_map& wanted) {
+  return std::all_of(wanted.begin(), wanted.end(), [&](const auto& each) {
+    const auto found = present.find(each.first);
+    return found != present.end() && found->second == each.second;
+  });
+}
+
+/// How far a member is from where the request starts: 0 data centre, 1 region, 2 beyond.
+int Distance(const member_record& member, const selection_context& context) {
+  if (member.data_centre == context.data_centre) return 0;
+  return member.region == context.region ? 1 : 2;
+}
+
+/// The share of its slots that a target may use while it warms up.
+double WarmShare(const member_record& member, const document& content,
+                 const selection_context& context) {
+  const auto ramp = static_cast<double>(content.targets.slow_start.count());
+  if (ramp <= 0 || context.wall_ms < member.target->ready_at_ms) return 1;
+  const auto age = static_cast<double>(context.wall_ms - member.target->ready_at_ms);
+  return std::clamp(age / ramp, kLeastShare, 1.0);
+}
+
+/// Expected work per usable slot; lower is better.
+double Score(const member_record& member, const document& content, const selection_context& context,
+             const load_board& loads) {
+  const target_load load = loads.Get(member.vm);
+  double work = load.outstanding;
+  if (context.now - load.reported_at < kReportAge) {
+    work = std::max(work, static_cast<double>(load.reported.in_use)) +
+           kQueuePenalty * load.reported.queued;
+  }
+  const double slots = std::max<double>(1, member.target->slots);
+  return (work + 1) / (slots * WarmShare(member, content, context));
+}
+
+/// Keeps the members whose hash with the chooser is greatest, so that each chooser holds
+/// connections to a bounded, evenly spread part of a large service.
+std::vector<member_ptr> SubsetFor(std::vector<member_ptr> members, const std::string& chooser) {
+  if (members.size() <= kSubset) return members;
+  const auto rank = [&](const member_ptr& each) { return StableHash(chooser + "/" + each->vm, 5); };
+  std::nth_element(members.begin(), members.begin() + kSubset, members.end(),
+                   [&](const auto& left, const auto& right) { return rank(left) > rank(right); });
+  members.resize(kSubset);
+  return members;
+}
+
+}  // namespace
+
+std::vector<member_ptr> EligibleTargets(const document& content, const route& chosen_route,
+                                        const label_map& split_labels,
+                                        const std::vector<member_ptr>& announced) {
+  (void)chosen_route;
+  std::vector<member_ptr> eligible;
+  for (const member_ptr& each : announced) {
+    const auto& regions = content.targets.regions;
+    const bool in_region =
+        regions.empty() || std::find(regions.begin(), regions.end(), each->region) != regions.end();
+    const bool usable = IsPresent(*each) && each->target &&
+                        each->target->state == target_state::kReady &&
+                        each->target->service == content.service;
+    if (usable && in_region && HasLabels(each->target->labels, content.targets.labels) &&
+        HasLabels(each->target->labels, split_labels)) {
+      eligible.push_back(each);
+    }
+  }
+  return eligible;
+}
+
+label_map DrawSplit(const route& chosen_route, std::mt19937_64& random) {
+  if (chosen_route.splits.empty()) return {};
+  std::vector<double> weights;
+  for (const route_split& each : chosen_route.splits) {
+    weights.push_back(static_cast<double>(each.weight));
+  }
+  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  return chosen_route.splits[draw(random)].labels;
+}
+
+member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
+                      locality preference, const selection_context& context,
+                      const load_board& loads, std::mt19937_64& random) {
+  std::vector<member_ptr> healthy;
+  std::vector<member_ptr> ejected;
+  for (const member_ptr& each : eligible) {
+    if (context.tried.contains(each->vm)) continue;
+    if (preference == locality::kRegion && each->region != context.region) continue;
+    const bool out = loads.Get(each->vm).ejected_until > context.now;
+    (out ? ejected : healthy).push_back(each);
+  }
+  std::vector<member_ptr>& from = healthy.empty() ? ejected : healthy;
+  if (from.empty()) return nullptr;
+  if (preference != locality::kAny) {
+    int nearest = Distance(*from.front(), context);
+    for (const member_ptr& each : from) nearest = std::min(nearest, Distance(*each, context));
+    std::erase_if(from, [&](const member_ptr& each) { return Distance(*each, context) > nearest; });
+  }
+  from = SubsetFor(std::move(from), context.vm);
+  std::uniform_int_distribution<std::size_t> draw(0, from.size() - 1);
+  const member_ptr first = from[draw(random)];
+  const member_ptr second = from[draw(random)];
+  return Score(*first, content, context, loads) <= Score(*second, content, context, loads) ? first
+                                                                                           : second;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/routing/retry_policy.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "document/document.h"
+#include "framework/base/clock.h"
+#include "framework/base/sharded_map.h"
+
+namespace catkinmoor {
+
+/// How one attempt ended.
+enum class attempt_outcome {
+  kAnswered,       ///< A whole header came back from the target.
+  kNotSent,        ///< Nothing reached the gate.
+  kRefused,        ///< The gate stated that the request was not and will not be handed on.
+  kRefusedByLoad,  ///< The same, because of overload.
+  kLost,           ///< Sent, and no answer came.
+  kFencedNotRun,   ///< Lost, and then the gate stated that it never will be handed on.
+};
+
+/// What to do after an attempt.
+enum class next_step { kDeliver, kTryAnother, kAskGate, kSayNotRun, kSayUnknown };
+
+/// What the decision depends on.
+struct attempt_state {
+  attempt_outcome outcome = attempt_outcome::kAnswered;
+  std::int64_t attempts_made = 1;
+  bool body_replayable = true;
+  bool gate_asked = false;
+  milliseconds time_left{0};
+};
+
+/// How many targets may be tried with proof that none ran the request before.
+inline constexpr std::int64_t kProvenAttempts = 4;
+
+/// Decides what follows an attempt. A request that is not repeatable goes on only with proof that
+/// it has not run; a repeatable one also after an answer was lost, within its attempts. Whether the
+/// budget allows a repetition is asked through a function, which is called only when it matters.
+template <typename TakeBudget>
+next_step DecideNext(const route& chosen_route, const attempt_state& state,
+                     TakeBudget&& take_budget) {
+  switch (state.outcome) {
+    case attempt_outcome::kAnswered:
+      return next_step::kDeliver;
+    case attempt_outcome::kLost: {
+      const bool may_repeat = chosen_route.repeatable && state.body_replayable &&
+                              state.attempts_made < chosen_route.attempts &&
+                              state.time_left.count() > 0;
+      if (may_repeat && take_budget()) return next_step::kTryAnother;
+      return state.gate_asked ? next_step::kSayUnknown : next_step::kAskGate;
+    }
+    case attempt_outcome::kNotSent:
+    case attempt_outcome::kRefused:
+    case attempt_outcome::kRefusedByLoad:
+    case attempt_outcome::kFencedNotRun:
+      break;
+  }
+  const bool can_go_on =
+      state.attempts_made < kProvenAttempts && state.body_replayable && state.time_left.count() > 0;
+  // Going on after a refusal by load adds load, so it needs the budget's leave.
+  if (state.outcome == attempt_outcome::kRefusedByLoad) {
+    return can_go_on && take_budget() ? next_step::kTryAnother : next_step::kSayNotRun;
+  }
+  return can_go_on ? next_step::kTryAnother : next_step::kSayNotRun;
+}
+
+/// Lets retries be a bounded share of first tries, by service. Holds no clock.
+class retry_budget {
+ public:
+  /// Notes a first try, which earns a share of a retry.
+  void OnFirstTry(const std::string& service, const retry_budget_settings& settings,
+                  time_point now);
+
+  /// Takes one retry if the budget holds one.
+  bool Take(const std::string& service, const retry_budget_settings& settings, time_point now);
+
+ private:
+  struct bucket {
+    double tokens = 0;
+    time_point refilled{};
+  };
+
+  static void Refill(bucket& of, const retry_budget_settings& settings, time_point now);
+
+  sharded_map<std::string, bucket> buckets_;
+};
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/stand_in/internal/platform_stand_in.cc
@@ -0,0 +1,158 @@
+#include "stand_in/platform_stand_in.h"
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "framework/json/field_table.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace bj = boost::json;
+using json::field;
+
+/// The JSON form of the faults.
+struct faults_form {
+  bool down = false;
+  bool stale = false;
+  milliseconds delay{0};
+  double lost_answers = 0;
+  double refused = 0;
+  std::int64_t seed = 1;
+};
+
+using form = faults_form;
+const std::array<field<form>, 6> kFields = {{
+    {"down", &form::down, "Whether every operation fails."},
+    {"stale", &form::stale, "Whether reads answer from the state when this was set."},
+    {"delay_ms", &form::delay, "Delay of every operation.", false, 0, 600'000},
+    {"lost_answers", &form::lost_answers, "Share of writes whose answer is lost.", false, 0, 1},
+    {"refused", &form::refused, "Share of operations that fail.", false, 0, 1},
+    {"seed", &form::seed, "Seed of the draws."},
+}};
+
+http::reply Json(unsigned status, const bj::object& body) {
+  return {status, {{"content-type", "application/json"}}, bj::serialize(body) + "\n"};
+}
+
+bj::object RowObject(const table_row& row) {
+  return {{"key", row.key}, {"value", row.value}, {"revision", row.revision}};
+}
+
+std::vector<row_write> ParseWrites(const std::string& text) {
+  std::vector<row_write> writes;
+  const bj::value parsed = bj::parse(text);
+  for (const bj::value& each : parsed.at("writes").as_array()) {
+    const bj::object& row = each.as_object();
+    row_write write{std::string(row.at("key").as_string()),
+                    std::string(row.at("value").as_string()), std::nullopt};
+    if (const bj::value* expected = row.if_contains("expected_revision")) {
+      write.expected_revision = expected->to_number<std::uint64_t>();
+    }
+    writes.push_back(std::move(write));
+  }
+  return writes;
+}
+
+http::reply FailureReply(const error& failure) {
+  unsigned status = 503;
+  if (failure.kind == error_kind::kConflict) status = 409;
+  if (failure.kind == error_kind::kNotFound) status = 404;
+  return Json(status, {{"error", failure.message}});
+}
+
+}  // namespace
+
+platform_stand_in::platform_stand_in(asio::io_context& context) : context_(context) {
+  store_.SetFaults([this](const std::string& operation) { return Draw(operation); });
+}
+
+platform_fault platform_stand_in::Draw(const std::string& operation) {
+  if (faults_.down) return platform_fault::kUnavailable;
+  std::uniform_real_distribution<double> share(0, 1);
+  const bool write = operation == "transact" || operation == "put object";
+  if (faults_.refused > 0 && share(random_) < faults_.refused) return platform_fault::kUnavailable;
+  if (write && faults_.lost_answers > 0 && share(random_) < faults_.lost_answers) {
+    return platform_fault::kAnswerLost;
+  }
+  if (!write && faults_.stale) return platform_fault::kStale;
+  return platform_fault::kNone;
+}
+
+asio::awaitable<http::reply> platform_stand_in::Answer(http::request message) {
+  if (message.Path().substr(0, 9) == "/control/") co_return Control(message);
+  if (faults_.delay.count() > 0) {
+    asio::steady_timer timer(context_, faults_.delay);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return co_await Serve(message);
+}
+
+asio::awaitable<http::reply> platform_stand_in::Serve(const http::request& message) {
+  const std::string path(message.Path());
+  constexpr std::string_view kObjects = "/v1/objects/";
+  if (path == "/v1/table/row" && message.method == "GET") {
+    auto row = co_await store_.Read(message.Query("key").value_or(""));
+    if (!Ok(row)) co_return FailureReply(Failure(row));
+    if (!Value(row)) co_return Json(404, {{"error", "no such row"}});
+    co_return Json(200, RowObject(*Value(row)));
+  }
+  if (path == "/v1/table/scan" && message.method == "GET") {
+    row_range range{message.Query("prefix").value_or(""), message.Query("after").value_or(""),
+                    std::stoul(message.Query("limit").value_or("500"))};
+    auto rows = co_await store_.Scan(std::move(range));
+    if (!Ok(rows)) co_return FailureReply(Failure(rows));
+    bj::array list;
+    for (const table_row& each : Value(rows)) list.push_back(RowObject(each));
+    co_return Json(200, {{"rows", std::move(list)}});
+  }
+  if (path == "/v1/table/transact" && message.method == "POST") {
+    auto written = co_await store_.Transact(ParseWrites(message.body));
+    if (!Ok(written)) co_return FailureReply(Failure(written));
+    co_return Json(200, {{"done", true}});
+  }
+  if (path.substr(0, kObjects.size()) == kObjects) {
+    const std::string name = path.substr(kObjects.size());
+    if (message.method == "PUT") {
+      auto written = co_await store_.PutObject(name, message.body);
+      if (!Ok(written)) co_return FailureReply(Failure(written));
+      co_return Json(200, {{"done", true}});
+    }
+    auto bytes = co_await store_.GetObject(name);
+    if (!Ok(bytes)) co_return FailureReply(Failure(bytes));
+    co_return http::reply{200, {}, Value(bytes)};
+  }
+  co_return Json(404, {{"error", "no such operation"}});
+}
+
+http::reply platform_stand_in::Control(const http::request& message) {
+  if (message.Path() == "/control/stats") {
+    return Json(200, {{"reads", store_.Reads()}, {"writes", store_.Writes()}});
+  }
+  if (message.Path() == "/control/object") {
+    store_.CorruptObject(message.Query("name").value_or(""), message.body);
+    return Json(200, {{"done", true}});
+  }
+  auto parsed = json::ParseWithComments(message.body);
+  json::problems found;
+  form given;
+  if (auto* failed = std::get_if<json::problems>(&parsed)) {
+    found = *failed;
+  } else {
+    json::ReadObject<form>(std::get<bj::value>(parsed), "", kFields, given, found);
+  }
+  if (!found.empty()) return Json(422, {{"error", json::Describe(found)}});
+  if (given.stale && !faults_.stale) store_.RememberForStaleReads();
+  faults_ = {given.down,         given.stale,   given.delay,
+             given.lost_answers, given.refused, static_cast<std::uint64_t>(given.seed)};
+  random_.seed(faults_.seed);
+  return Json(200, json::WriteObject<form>(given, kFields));
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/store/stub/memory_platform.cc
@@ -0,0 +1,113 @@
+#include "store/stub/memory_platform.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace asio = boost::asio;
+
+error Unavailable(const std::string& step) {
+  return {error_kind::kUnavailable, step, "platform", "the platform is down"};
+}
+
+error AnswerLost(const std::string& step) {
+  return {error_kind::kUndecided, step, "platform", "the answer was lost"};
+}
+
+}  // namespace
+
+void memory_platform::SetFaults(fault_function faults) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  faults_ = std::move(faults);
+}
+
+void memory_platform::RememberForStaleReads() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  previous_ = rows_;
+}
+
+void memory_platform::CorruptObject(const std::string& name, std::string bytes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  objects_[name] = std::move(bytes);
+}
+
+platform_fault memory_platform::Fault(const std::string& operation) {
+  return faults_ ? faults_(operation) : platform_fault::kNone;
+}
+
+asio::awaitable<result<std::optional<table_row>>> memory_platform::Read(std::string key) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++reads_;
+  const platform_fault fault = Fault("read");
+  if (fault == platform_fault::kUnavailable || fault == platform_fault::kAnswerLost) {
+    co_return Unavailable("read row");
+  }
+  const row_map& rows = fault == platform_fault::kStale ? previous_ : rows_;
+  const auto found = rows.find(key);
+  if (found == rows.end()) co_return std::nullopt;
+  co_return found->second;
+}
+
+asio::awaitable<result<std::vector<table_row>>> memory_platform::Scan(row_range range) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++reads_;
+  const platform_fault fault = Fault("scan");
+  if (fault == platform_fault::kUnavailable || fault == platform_fault::kAnswerLost) {
+    co_return Unavailable("scan rows");
+  }
+  const row_map& rows = fault == platform_fault::kStale ? previous_ : rows_;
+  std::vector<table_row> matches;
+  auto next = rows.lower_bound(range.prefix);
+  for (; next != rows.end() && matches.size() < range.limit; ++next) {
+    if (next->first.compare(0, range.prefix.size(), range.prefix) != 0) break;
+    if (next->first > range.after) matches.push_back(next->second);
+  }
+  co_return matches;
+}
+
+asio::awaitable<result<done>> memory_platform::Transact(std::vector<row_write> writes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++writes_;
+  const platform_fault fault = Fault("transact");
+  if (fault == platform_fault::kUnavailable) co_return Unavailable("transact");
+  const bool applied = Apply(writes);
+  if (fault == platform_fault::kAnswerLost) co_return AnswerLost("transact");
+  if (!applied) {
+    co_return error{error_kind::kConflict, "transact", "platform", "a row was changed"};
+  }
+  co_return done{};
+}
+
+asio::awaitable<result<done>> memory_platform::PutObject(std::string name, std::string bytes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++writes_;
+  const platform_fault fault = Fault("put object");
+  if (fault == platform_fault::kUnavailable) co_return Unavailable("put object");
+  objects_[name] = std::move(bytes);
+  if (fault == platform_fault::kAnswerLost) co_return AnswerLost("put object");
+  co_return done{};
+}
+
+asio::awaitable<result<std::string>> memory_platform::GetObject(std::string name) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++reads_;
+  if (Fault("get object") == platform_fault::kUnavailable) co_return Unavailable("get object");
+  const auto found = objects_.find(name);
+  if (found == objects_.end()) {
+    co_return error{error_kind::kNotFound, "get object", "platform", "no object " + name};
+  }
+  co_return found->second;
+}
+
+bool memory_platform::Apply(const std::vector<row_write>& writes) {
+  for (const row_write& each : writes) {
+    if (!each.expected_revision) continue;
+    const auto found = rows_.find(each.key);
+    const std::uint64_t present = found == rows_.end() ? 0 : found->second.revision;
+    if (present != *each.expected_revision) return false;
+  }
+  ++revision_;
+  for (const row_write& each : writes) rows_[each.key] = {each.key, each.value, revision_};
+  return true;
+}
+
+}  // namespace catkinmoor
