--- a/src/administration/internal/administration_service.cc
+++ b/src/administration/internal/administration_service.cc
@@ -147,9 +147,11 @@
 
 asio::awaitable<http::reply> administration_service::ListDocuments(const call&) {
   bj::array list;
-  for (const document_summary& each : parts_.board.documents.Summaries()) {
-    list.push_back(
-        bj::object{{"service", each.service}, {"version", each.version}, {"digest", each.digest}});
+  for (const in_force_entry& each : parts_.board.documents.AllInForce()) {
+    list.push_back(bj::object{{"service", each.document.service},
+                              {"version", each.document.version},
+                              {"digest", each.document.digest},
+                              {"in_force_since_ms", each.since_ms}});
   }
   co_return Json(200, {{"documents", std::move(list)}});
 }
--- /dev/null
+++ b/src/admission/tests/admission_test.cc
@@ -0,0 +1,162 @@
+#include <rapidcheck.h>
+
+#include <atomic>
+#include <map>
+#include <set>
+#include <thread>
+
+#include "admission/admission_queue.h"
+#include "admission/request_ledger.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using catkinmoor::admission;
+using catkinmoor::admission_queue;
+using catkinmoor::admission_release;
+using catkinmoor::admission_request;
+using catkinmoor::hand_outcome;
+using catkinmoor::ledger_fate;
+using catkinmoor::milliseconds;
+using catkinmoor::refusal;
+using catkinmoor::request_ledger;
+using catkinmoor::route_class;
+using catkinmoor::time_point;
+
+constexpr milliseconds kRetention{30'000};
+
+admission_request Request(std::uint64_t ticket, route_class kind, int deadline_ms = 1'000) {
+  return {ticket, kind, "route", 1'000, 50, time_point{} + milliseconds(deadline_ms)};
+}
+
+}  // namespace
+
+Test(request_ledger, over_any_history_never_both_hands_and_denies_an_id) {
+  cr_assert(rc::check([] {
+    request_ledger ledger;
+    std::set<std::string> handed;
+    std::set<std::string> denied;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::arbitrary<bool>()));
+    for (const auto& [number, fences] : steps) {
+      const std::string id = std::to_string(number);
+      if (fences) {
+        if (ledger.Fence(id, time_point{}) == ledger_fate::kNeverHanded) denied.insert(id);
+      } else if (ledger.TryHand(id, kRetention, time_point{}) == hand_outcome::kHanded) {
+        RC_ASSERT(handed.insert(id).second);
+      }
+    }
+    for (const std::string& id : denied) RC_ASSERT(!handed.contains(id));
+  }));
+}
+
+Test(request_ledger, raced_by_threads_gives_each_id_one_fate) {
+  request_ledger ledger;
+  constexpr int kIds = 2'000;
+  std::vector<std::atomic<int>> handed(kIds);
+  std::vector<std::atomic<int>> denied(kIds);
+  const auto work = [&](bool fences) {
+    for (int i = 0; i < kIds; ++i) {
+      const std::string id = std::to_string(i);
+      if (fences) {
+        denied[i] += ledger.Fence(id, time_point{}) == ledger_fate::kNeverHanded ? 1 : 0;
+      } else {
+        handed[i] += ledger.TryHand(id, kRetention, time_point{}) == hand_outcome::kHanded ? 1 : 0;
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) threads.emplace_back(work, i % 2 == 0);
+  for (std::thread& each : threads) each.join();
+  for (int i = 0; i < kIds; ++i) {
+    cr_assert(handed[i] <= 1);
+    cr_assert((handed[i] == 1) != (denied[i] >= 1));
+  }
+}
+
+Test(request_ledger, after_its_retention_forgets_what_was_handed_but_keeps_fences) {
+  request_ledger ledger;
+  ledger.TryHand("a", kRetention, time_point{});
+  ledger.Fence("b", time_point{});
+  ledger.Expire(time_point{} + kRetention);
+  cr_assert(ledger.Size() == 1);
+  cr_assert(ledger.TryHand("b", kRetention, time_point{}) == hand_outcome::kFenced);
+}
+
+Test(admission_queue, under_any_load_follows_the_naive_reference) {
+  cr_assert(rc::check([] {
+    admission_queue queue;
+    const auto slots = *rc::gen::inRange<std::uint32_t>(1, 4);
+    queue.SetSlots(slots);
+    std::set<std::uint64_t> running;
+    std::map<std::uint64_t, route_class> waiting;
+    time_point now{};
+    const auto note = [&](const std::vector<admission_release>& released) {
+      for (const auto& each : released) {
+        RC_ASSERT(waiting.contains(each.ticket));
+        if (each.decision.what == admission::kRun) {
+          // No waiting request of a higher class may be passed over.
+          for (const auto& [ticket, kind] : waiting) {
+            RC_ASSERT(kind >= waiting.at(each.ticket) || ticket == each.ticket);
+          }
+          running.insert(each.ticket);
+        }
+        waiting.erase(each.ticket);
+      }
+    };
+    std::uint64_t ticket = 0;
+    for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6))) {
+      now += milliseconds(1);
+      if (step < 4) {
+        const auto kind = static_cast<route_class>(step);
+        const auto decision = queue.Arrive(Request(++ticket, kind, 1'000'000), now);
+        if (decision.what == admission::kRun) running.insert(ticket);
+        if (decision.what == admission::kWait) waiting[ticket] = kind;
+      } else if (!running.empty()) {
+        running.erase(running.begin());
+        note(queue.Finish("route", milliseconds(1), now));
+      }
+      RC_ASSERT(running.size() <= slots);
+      RC_ASSERT(queue.InUse() == running.size());
+      RC_ASSERT(queue.Queued() == waiting.size());
+      RC_ASSERT(waiting.empty() || running.size() == slots);
+    }
+  }));
+}
+
+Test(admission_queue, when_full_admits_a_booking_before_browsing) {
+  admission_queue queue;
+  queue.SetSlots(1);
+  queue.Arrive(Request(1, route_class::kBrowse), time_point{});
+  queue.Arrive(Request(2, route_class::kBrowse), time_point{});
+  queue.Arrive(Request(3, route_class::kBooking), time_point{});
+  const auto released = queue.Finish("route", milliseconds(1), time_point{});
+  cr_assert(released.size() == 1);
+  cr_assert(released.front().ticket == 3);
+}
+
+Test(admission_queue, with_a_line_longer_than_the_deadline_sheds_browsing_but_not_bookings) {
+  admission_queue queue;
+  queue.SetSlots(1);
+  for (int i = 0; i < 100; ++i) {
+    queue.Arrive(Request(1, route_class::kBooking), time_point{});
+    queue.Finish("route", milliseconds(400), time_point{});
+  }
+  for (int i = 0; i < 4; ++i) queue.Arrive(Request(2, route_class::kBooking), time_point{});
+  const auto browse = queue.Arrive(Request(9, route_class::kBrowse), time_point{});
+  cr_assert(browse.what == admission::kRefuse);
+  cr_assert(browse.reason == refusal::kTooLate);
+  cr_assert(queue.Arrive(Request(10, route_class::kBooking), time_point{}).what == admission::kWait);
+}
+
+Test(admission_queue, when_draining_releases_the_waiting_and_refuses_the_new) {
+  admission_queue queue;
+  queue.SetSlots(1);
+  queue.Arrive(Request(1, route_class::kBrowse), time_point{});
+  queue.Arrive(Request(2, route_class::kBrowse), time_point{});
+  const auto released = queue.Drain();
+  cr_assert(released.size() == 1);
+  cr_assert(released.front().decision.reason == refusal::kDraining);
+  cr_assert(queue.Arrive(Request(3, route_class::kBrowse), time_point{}).what == admission::kRefuse);
+}
--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -26,6 +26,14 @@
   friend bool operator==(const refused_version&, const refused_version&) = default;
 };
 
+/// A document in force, with the wall time at which it came in force here.
+struct in_force_entry {
+  document_summary document;
+  std::uint64_t since_ms = 0;
+
+  friend bool operator==(const in_force_entry&, const in_force_entry&) = default;
+};
+
 /// The blackboard entry for documents. A version is held once it has been checked whole, and put in
 /// force once another daemon of the same data centre is known to hold it too, so that a restart can
 /// always learn how far this daemon had come. Versions only rise, whatever order they arrive in.
@@ -54,7 +62,7 @@
   std::vector<active_document_ptr> HeldIn(std::size_t bucket) const;
 
   /// Every version in force.
-  std::vector<document_summary> Summaries() const;
+  std::vector<in_force_entry> AllInForce() const;
 
   /// The latest refusal of each service that has not been overtaken by an accepted version.
   std::vector<refused_version> Refusals() const;
@@ -72,6 +80,7 @@
   struct entry {
     active_document_ptr held;
     active_document_ptr in_force;
+    std::uint64_t in_force_since_ms = 0;
     std::optional<refused_version> refused;
   };
   struct shard {
@@ -81,6 +90,7 @@
     std::uint64_t last_change = 0;
   };
 
+  static void PutInForce(entry& slot);
   offer_outcome Refuse(const document_version& offered, std::string reason);
   shard& ShardOf(const std::string& service) { return shards_[BucketOf(service)]; }
   const shard& ShardOf(const std::string& service) const { return shards_[BucketOf(service)]; }
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "framework/base/clock.h"
 #include "framework/base/digest.h"
 
 namespace catkinmoor {
@@ -53,17 +54,23 @@
       owner.last_change = std::max(owner.last_change, offered.change);
       slot.held = std::move(active);
       slot.refused.reset();
-      if (witnessed) slot.in_force = slot.held;
+      if (witnessed) PutInForce(slot);
       return offer_outcome::kNews;
     }
     if (slot.held->source.digest == offered.digest) {
-      if (witnessed) slot.in_force = slot.held;
+      if (witnessed) PutInForce(slot);
       return offer_outcome::kHeld;
     }
   }
   return Refuse(offered, "another text is held under this version");
 }
 
+void document_board::PutInForce(entry& slot) {
+  if (slot.in_force == slot.held) return;
+  slot.in_force = slot.held;
+  slot.in_force_since_ms = WallMilliseconds();
+}
+
 offer_outcome document_board::Refuse(const document_version& offered, std::string reason) {
   shard& owner = ShardOf(offered.service);
   const std::unique_lock<std::shared_mutex> lock(owner.mutex);
@@ -77,14 +84,14 @@
   const std::unique_lock<std::shared_mutex> lock(owner.mutex);
   const auto found = owner.entries.find(service);
   if (found == owner.entries.end() || found->second.held == nullptr) return;
-  if (found->second.held->source.version == version) found->second.in_force = found->second.held;
+  if (found->second.held->source.version == version) PutInForce(found->second);
 }
 
 void document_board::WitnessAll() {
   for (shard& owner : shards_) {
     const std::unique_lock<std::shared_mutex> lock(owner.mutex);
     for (auto& [service, slot] : owner.entries) {
-      if (slot.held != nullptr) slot.in_force = slot.held;
+      if (slot.held != nullptr) PutInForce(slot);
     }
   }
 }
@@ -124,19 +131,20 @@
   return held;
 }
 
-std::vector<document_summary> document_board::Summaries() const {
-  std::vector<document_summary> summaries;
+std::vector<in_force_entry> document_board::AllInForce() const {
+  std::vector<in_force_entry> entries;
   for (const shard& owner : shards_) {
     const std::shared_lock<std::shared_mutex> lock(owner.mutex);
     for (const auto& [service, slot] : owner.entries) {
       if (slot.in_force == nullptr) continue;
       const document_version& source = slot.in_force->source;
-      summaries.push_back({source.service, source.version, source.digest});
+      entries.push_back({{source.service, source.version, source.digest}, slot.in_force_since_ms});
     }
   }
-  std::sort(summaries.begin(), summaries.end(),
-            [](const auto& left, const auto& right) { return left.service < right.service; });
-  return summaries;
+  std::sort(entries.begin(), entries.end(), [](const auto& left, const auto& right) {
+    return left.document.service < right.document.service;
+  });
+  return entries;
 }
 
 std::vector<refused_version> document_board::Refusals() const {
--- a/src/distribution/internal/membership_controller.cc
+++ b/src/distribution/internal/membership_controller.cc
@@ -135,7 +135,7 @@
   const auto ring = Successors(*board_.members.View(), self.data_centre, self.vm, SIZE_MAX);
   if (ring.empty()) co_return;
   const std::size_t power = Draw(static_cast<std::size_t>(std::bit_width(ring.size())));
-  const member_ptr finger = ring[(std::size_t{1} << power) - 1];
+  const member_ptr& finger = ring[(std::size_t{1} << power) - 1];
   co_await ReconcileIfDifferent(*finger, settings_.probe_timeout);
 }
 
--- a/src/distribution/internal/spread_strategy.cc
+++ b/src/distribution/internal/spread_strategy.cc
@@ -46,6 +46,7 @@
       std::sample(others.begin(), others.end(), std::back_inserter(chosen), kGossipFanout, random_);
     }
     std::vector<spread_hop> hops;
+    hops.reserve(chosen.size());
     for (const member_ptr& each : chosen) hops.push_back({{{each, scope}}});
     return hops;
   }
--- a/src/distribution/internal/status_controller.cc
+++ b/src/distribution/internal/status_controller.cc
@@ -22,7 +22,9 @@
 /// Counts members that this daemon knows and that the report did not cover, and tells when the
 /// report counts the right number but not the right members.
 void AddUnheard(gather_reply& report, const member_view& view) {
-  for (const auto& [name, members] : view.data_centres) {
+  for (const auto& entry : view.data_centres) {
+    const std::string& name = entry.first;
+    const auto& members = entry.second;
     AddStatus(report, {members.front()->region, name, 0, 0, 0, 0, 0, {}});
     auto& status = *std::find_if(report.data_centres.begin(), report.data_centres.end(),
                                  [&](const auto& each) { return each.data_centre == name; });
@@ -113,6 +115,7 @@
   using operation =
       decltype(asio::co_spawn(executor, AskHop(hops.front(), message), asio::deferred));
   std::vector<operation> operations;
+  operations.reserve(hops.size());
   for (const spread_hop& hop : hops) {
     operations.push_back(asio::co_spawn(executor, AskHop(hop, message), asio::deferred));
   }
--- /dev/null
+++ b/src/distribution/tests/document_board_test.cc
@@ -0,0 +1,131 @@
+#include "distribution/document_board.h"
+
+#include <rapidcheck.h>
+
+#include "framework/base/digest.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using catkinmoor::document_board;
+using catkinmoor::document_version;
+using catkinmoor::offer_outcome;
+using catkinmoor::Sha256Hex;
+
+std::string TextOf(std::uint64_t deadline, const std::string& service = "slotboard") {
+  return R"({"schema": 1, "service": ")" + service +
+         R"(", "owner": "fitting", "routes": [{"name": "a", "match": {"prefix": "/"},
+             "class": "browse", "repeatable": true, "deadline_ms": )" +
+         std::to_string(deadline) + "}]}";
+}
+
+document_version Version(std::uint64_t version, const std::string& text) {
+  return {"slotboard", version, version, Sha256Hex(text), text};
+}
+
+document_version Good(std::uint64_t version) { return Version(version, TextOf(100 + version)); }
+
+std::uint64_t InForce(const document_board& board) {
+  const auto active = board.InForce("slotboard");
+  return active == nullptr ? 0 : active->source.version;
+}
+
+/// How an offered version is damaged, if at all.
+enum class damage { kNone, kDigest, kSyntax, kSchema, kOtherService, kCount };
+
+document_version Offered(std::uint64_t version, damage how) {
+  switch (how) {
+    case damage::kDigest: {
+      document_version wrong = Good(version);
+      wrong.digest = Sha256Hex("other");
+      return wrong;
+    }
+    case damage::kSyntax:
+      return Version(version, TextOf(1).substr(0, 20));
+    case damage::kSchema:
+      return Version(version, R"({"schema": 99, "service": "slotboard"})");
+    case damage::kOtherService:
+      return Version(version, TextOf(1, "bookdesk"));
+    case damage::kNone:
+    case damage::kCount:
+      break;
+  }
+  return Good(version);
+}
+
+}  // namespace
+
+Test(document_board, fed_in_any_order_with_bad_versions_follows_the_naive_reference) {
+  cr_assert(rc::check([] {
+    document_board board;
+    std::uint64_t naive = 0;
+    std::uint64_t highest_in_force = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(1, 9),
+                      rc::gen::inRange(0, static_cast<int>(damage::kCount))));
+    for (const auto& [version, how] : steps) {
+      const bool sound = static_cast<damage>(how) == damage::kNone;
+      const bool witnessed = *rc::gen::arbitrary<bool>();
+      const auto outcome = board.Offer(Offered(version, static_cast<damage>(how)), witnessed);
+      if (sound) naive = std::max<std::uint64_t>(naive, version);
+      if (sound && static_cast<std::uint64_t>(version) == naive) {
+        RC_ASSERT(outcome == offer_outcome::kNews || outcome == offer_outcome::kHeld);
+      }
+      if (!sound) RC_ASSERT(outcome == offer_outcome::kRefused || outcome == offer_outcome::kOlder);
+      if (*rc::gen::inRange(0, 3) == 0) board.Witness("slotboard", version);
+      const auto held = board.Held("slotboard");
+      RC_ASSERT((held == nullptr ? 0 : held->source.version) == naive);
+      RC_ASSERT(InForce(board) >= highest_in_force);
+      highest_in_force = InForce(board);
+    }
+    board.WitnessAll();
+    RC_ASSERT(InForce(board) == naive);
+  }));
+}
+
+Test(document_board, with_an_older_version_arriving_late_keeps_the_newer) {
+  document_board board;
+  board.Offer(Good(5), true);
+  cr_assert(board.Offer(Good(4), true) == offer_outcome::kOlder);
+  cr_assert(InForce(board) == 5);
+}
+
+Test(document_board, with_another_text_under_a_held_version_refuses_it) {
+  document_board board;
+  board.Offer(Good(5), true);
+  cr_assert(board.Offer(Version(5, TextOf(7)), true) == offer_outcome::kRefused);
+  cr_assert(board.InForce("slotboard")->content.routes.front().deadline.count() == 105);
+  cr_assert(board.Refusals().size() == 1);
+}
+
+Test(document_board, without_a_witness_holds_a_version_but_does_not_put_it_in_force) {
+  document_board board;
+  board.Offer(Good(1), true);
+  board.Offer(Good(2), false);
+  cr_assert(InForce(board) == 1);
+  cr_assert(board.Held("slotboard")->source.version == 2);
+  board.Witness("slotboard", 1);
+  cr_assert(InForce(board) == 1);
+  board.Witness("slotboard", 2);
+  cr_assert(InForce(board) == 2);
+}
+
+Test(document_board, with_a_refused_version_overtaken_by_a_good_one_forgets_the_refusal) {
+  document_board board;
+  board.Offer(Offered(1, damage::kSyntax), true);
+  cr_assert(board.Refusals().size() == 1);
+  board.Offer(Good(2), true);
+  cr_assert(board.Refusals().empty());
+}
+
+Test(document_board, with_the_same_documents_has_the_same_hashes) {
+  document_board first;
+  document_board second;
+  first.Offer(Good(1), true);
+  first.Offer(Good(3), true);
+  second.Offer(Good(3), false);
+  for (std::size_t i = 0; i < document_board::kBuckets; ++i) {
+    cr_assert(first.BucketHash(i) == second.BucketHash(i));
+  }
+}
--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -1,5 +1,7 @@
 #include "framework/http/client.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -25,6 +27,14 @@
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
+/// Whether an idle connection is still open and carries nothing that nobody asked for.
+bool IsQuiet(beast::tcp_stream& idle) {
+  char byte = 0;
+  const auto count =
+      ::recv(idle.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 /// How far one try got.
 enum class progress { kNotSent, kSent, kAnswered };
 
@@ -91,10 +101,13 @@
   stream_ptr TakeIdle(const std::string& peer) {
     return idle.With(peer, [&](auto& entries) -> stream_ptr {
       auto found = entries.find(peer);
-      if (found == entries.end() || found->second.empty()) return nullptr;
-      stream_ptr taken = std::move(found->second.back());
-      found->second.pop_back();
-      return taken;
+      if (found == entries.end()) return nullptr;
+      while (!found->second.empty()) {
+        stream_ptr taken = std::move(found->second.back());
+        found->second.pop_back();
+        if (IsQuiet(*taken)) return taken;
+      }
+      return nullptr;
     });
   }
 
@@ -117,7 +130,8 @@
   const auto shared = state_;
   const std::string name = ToString(peer);
   const std::string step = message.method + " " + std::string(message.Path());
-  const bool repeatable = message.method == "GET" || message.method == "HEAD";
+  const bool repeatable =
+      message.method == "GET" || message.method == "HEAD" || message.method == "PUT";
   for (bool fresh = false;; fresh = true) {
     stream_ptr stream = fresh ? nullptr : shared->TakeIdle(name);
     const bool reused = stream != nullptr;
--- a/src/framework/json/internal/field_table.cc
+++ b/src/framework/json/internal/field_table.cc
@@ -7,6 +7,8 @@
 namespace catkinmoor::json::internal {
 namespace {
 
+constexpr double kUnbounded = std::numeric_limits<double>::infinity();
+
 bool CheckRange(double number, range bounds, const std::string& place, problems& found) {
   if (number >= bounds.least && number <= bounds.most) return true;
   std::ostringstream message;
@@ -83,7 +85,7 @@
   to.clear();
   for (std::size_t i = 0; i < list->size(); ++i) {
     std::string text;
-    ReadValue((*list)[i], Child(place, std::to_string(i)), {1, INFINITY}, text, found);
+    ReadValue((*list)[i], Child(place, std::to_string(i)), {1, kUnbounded}, text, found);
     to.push_back(std::move(text));
   }
 }
@@ -99,7 +101,7 @@
   for (const auto& [key, value] : *object) {
     const std::string name(key.data(), key.size());
     std::string text;
-    ReadValue(value, Child(place, name), {-INFINITY, INFINITY}, text, found);
+    ReadValue(value, Child(place, name), {-kUnbounded, kUnbounded}, text, found);
     to.emplace(name, std::move(text));
   }
 }
--- a/src/framework/logging/internal/log.cc
+++ b/src/framework/logging/internal/log.cc
@@ -58,13 +58,13 @@
 }  // namespace
 
 void Start(const std::string& program, bool verbose) {
-  static const std::string name = program;
-  static json_line_sink sink(name);
+  static const std::string kProgram = program;
+  static json_line_sink sink(kProgram);
   FLAGS_logtostderr = false;
   FLAGS_alsologtostderr = false;
   FLAGS_stderrthreshold = google::NUM_SEVERITIES;
   FLAGS_minloglevel = verbose ? google::GLOG_INFO : google::GLOG_WARNING;
-  google::InitGoogleLogging(name.c_str());
+  google::InitGoogleLogging(kProgram.c_str());
   for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
     google::SetLogDestination(severity, "");
   }
--- a/src/framework/metrics/internal/registry.cc
+++ b/src/framework/metrics/internal/registry.cc
@@ -43,7 +43,11 @@
 std::string SeriesText(const labels& series, const std::string& extra = "") {
   std::string text;
   for (const auto& [name, value] : series) {
-    text += (text.empty() ? "" : ",") + name + "=\"" + value + "\"";
+    if (!text.empty()) text += ",";
+    text += name;
+    text += "=\"";
+    text += value;
+    text += "\"";
   }
   if (!extra.empty()) text += (text.empty() ? "" : ",") + extra;
   return text.empty() ? "" : "{" + text + "}";
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -234,6 +234,8 @@
       const bool told = co_await SendContinue(entry, settings_.progress_timeout);
       if (!told) co_return false;
     }
+    // An entry that closed its connection has given the call up; this daemon may have been paused.
+    if (IsClosed(entry)) co_return false;
     const milliseconds retention = call.deadline + kHandedRetention;
     const hand_outcome handed = board_.ledger.TryHand(call.attempt, retention, Now());
     if (handed == hand_outcome::kFenced) {
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -36,6 +36,17 @@
          beast::iequals(text.substr(0, prefix.size()), {prefix.data(), prefix.size()});
 }
 
+/// What a look at a socket without reading from it shows.
+enum class peeked { kQuiet, kBytes, kClosed };
+
+peeked Peek(connection& at) {
+  char byte = 0;
+  const auto count = ::recv(at.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) return peeked::kBytes;
+  const bool would_wait = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return would_wait ? peeked::kQuiet : peeked::kClosed;
+}
+
 /// Moves blocks from the parser's stream to the serializer's until both are done.
 template <bool kIsRequest>
 asio::awaitable<transfer_outcome> TransferBlocks(
@@ -218,13 +229,9 @@
   broken.stream.socket().close(ignored);
 }
 
-bool IsStale(connection& idle) {
-  char byte = 0;
-  const auto count =
-      ::recv(idle.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool quiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return !quiet || idle.buffer.size() != 0;
-}
+bool IsClosed(connection& open) { return Peek(open) == peeked::kClosed; }
+
+bool IsStale(connection& idle) { return Peek(idle) != peeked::kQuiet || idle.buffer.size() != 0; }
 
 disconnect_watch::disconnect_watch(connection& watched, std::function<void()> on_gone)
     : watched_(watched), active_(std::make_shared<bool>(true)) {
@@ -232,11 +239,7 @@
       asio::ip::tcp::socket::wait_read,
       [this, active = active_, on_gone = std::move(on_gone)](const beast::error_code& failed) {
         if (!*active || failed) return;
-        char byte = 0;
-        const auto count =
-            ::recv(watched_.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool would_wait = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (count <= 0 && !would_wait) on_gone();
+        if (IsClosed(watched_)) on_gone();
       });
 }
 
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -107,6 +107,9 @@
 /// Closes a connection so that the peer sees it broken rather than ended.
 void Abort(connection& broken);
 
+/// Whether the peer has closed a connection. Bytes that wait to be read say that it has not.
+bool IsClosed(connection& open);
+
 /// Whether a peer has closed an idle connection, or sent bytes nobody asked for.
 bool IsStale(connection& idle);
 
--- /dev/null
+++ b/src/routing/tests/routing_test.cc
@@ -0,0 +1,178 @@
+#include <rapidcheck.h>
+
+#include "routing/retry_policy.h"
+#include "routing/route_matcher.h"
+#include "routing/target_selector.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using catkinmoor::attempt_outcome;
+using catkinmoor::attempt_state;
+using catkinmoor::document;
+using catkinmoor::EligibleTargets;
+using catkinmoor::FindRoute;
+using catkinmoor::load_board;
+using catkinmoor::locality;
+using catkinmoor::member_ptr;
+using catkinmoor::member_record;
+using catkinmoor::member_state;
+using catkinmoor::milliseconds;
+using catkinmoor::next_step;
+using catkinmoor::no_route;
+using catkinmoor::PickTarget;
+using catkinmoor::retry_budget;
+using catkinmoor::retry_budget_settings;
+using catkinmoor::route;
+using catkinmoor::selection_context;
+using catkinmoor::target_announcement;
+using catkinmoor::target_state;
+using catkinmoor::time_point;
+
+member_ptr Target(const std::string& vm, const std::string& region, const std::string& data_centre,
+                  target_state state = target_state::kReady) {
+  member_record record;
+  record.vm = vm;
+  record.region = region;
+  record.data_centre = data_centre;
+  record.version = {1, 1, member_state::kAlive};
+  record.target = target_announcement{"slotboard", "i-" + vm, {{"track", "stable"}}, state, 10, 130, 0};
+  return std::make_shared<const member_record>(record);
+}
+
+document Slotboard() {
+  document content;
+  content.service = "slotboard";
+  content.routes = {route{.name = "hold", .match = {{"POST"}, "/holds", "", {}}},
+                    route{.name = "staff",
+                          .match = {{"GET"}, "/staff", "", {}},
+                          .callers = catkinmoor::caller_scope::kInternal},
+                    route{.name = "browse", .match = {{"GET"}, "/", "", {}}, .repeatable = true}};
+  return content;
+}
+
+std::string NameOf(const document& content, std::string_view method, std::string_view path,
+                   bool internal = false) {
+  const auto found = FindRoute(
+      content, {method, path, [](std::string_view) { return std::string_view(); }, internal});
+  const auto* chosen = std::get_if<const route*>(&found);
+  if (chosen != nullptr) return (*chosen)->name;
+  return std::to_string(static_cast<int>(std::get<no_route>(found)));
+}
+
+selection_context From(const std::string& region, const std::string& data_centre) {
+  return {"self", region, data_centre, {}, time_point{} + milliseconds(1), 0};
+}
+
+}  // namespace
+
+Test(route_matcher, with_several_routes_takes_the_first_that_matches) {
+  const document content = Slotboard();
+  cr_assert(NameOf(content, "POST", "/holds/1") == "hold");
+  cr_assert(NameOf(content, "GET", "/slots") == "browse");
+  cr_assert(NameOf(content, "HEAD", "/slots") == "browse");
+  cr_assert(NameOf(content, "GET", "/staff/x", true) == "staff");
+}
+
+Test(route_matcher, without_a_match_says_why) {
+  const document content = Slotboard();
+  cr_assert(NameOf(content, "DELETE", "/slots") == "1");
+  cr_assert(NameOf(content, "GET", "/staff/x") == "2");
+  document empty = content;
+  empty.routes.pop_back();
+  cr_assert(NameOf(empty, "GET", "/other") == "0");
+}
+
+Test(eligible_targets, not_ready_or_of_another_kind_are_left_out) {
+  document content = Slotboard();
+  content.targets.regions = {"puget"};
+  content.targets.labels = {{"track", "stable"}};
+  auto other = std::make_shared<member_record>(*Target("e", "puget", "p1"));
+  other->target->service = "bookdesk";
+  auto canary = std::make_shared<member_record>(*Target("f", "puget", "p1"));
+  canary->target->labels = {{"track", "canary"}};
+  auto dead = std::make_shared<member_record>(*Target("g", "puget", "p1"));
+  dead->version.state = member_state::kDead;
+  const std::vector<member_ptr> announced = {
+      Target("a", "puget", "p1"), Target("b", "inland", "i1"),
+      Target("c", "puget", "p1", target_state::kLeaving),
+      Target("d", "puget", "p1", target_state::kStarting), other, canary, dead};
+  const auto eligible = EligibleTargets(content, content.routes.front(), {}, announced);
+  cr_assert(eligible.size() == 1);
+  cr_assert(eligible.front()->vm == "a");
+}
+
+Test(pick_target, with_targets_near_and_far_takes_the_near_and_then_the_far) {
+  const document content = Slotboard();
+  const std::vector<member_ptr> eligible = {Target("a", "puget", "p1"), Target("b", "puget", "p2"),
+                                            Target("c", "inland", "i1")};
+  load_board loads;
+  std::mt19937_64 random(1);
+  selection_context context = From("puget", "p1");
+  for (const char* expected : {"a", "b", "c"}) {
+    const auto chosen = PickTarget(eligible, content, locality::kNearest, context, loads, random);
+    cr_assert(chosen->vm == expected);
+    context.tried.insert(chosen->vm);
+  }
+  cr_assert(PickTarget(eligible, content, locality::kNearest, context, loads, random) == nullptr);
+}
+
+Test(pick_target, with_one_target_failing_sends_little_to_it) {
+  const document content = Slotboard();
+  const std::vector<member_ptr> eligible = {Target("a", "puget", "p1"), Target("b", "puget", "p1")};
+  load_board loads;
+  std::mt19937_64 random(1);
+  const selection_context context = From("puget", "p1");
+  loads.OnFailure("a", context.now);
+  for (int i = 0; i < 50; ++i) {
+    cr_assert(PickTarget(eligible, content, locality::kNearest, context, loads, random)->vm == "b");
+  }
+}
+
+Test(decide_next, over_every_state_never_repeats_what_may_have_run) {
+  for (const bool repeatable : {false, true}) {
+    for (int outcome = 0; outcome <= static_cast<int>(attempt_outcome::kFencedNotRun); ++outcome) {
+      for (std::int64_t made = 1; made <= 5; ++made) {
+        for (const bool replayable : {false, true}) {
+          for (const bool asked : {false, true}) {
+            for (const std::int64_t left : {0, 100}) {
+              const route chosen{.repeatable = repeatable, .attempts = repeatable ? 3 : 1};
+              const attempt_state state{static_cast<attempt_outcome>(outcome), made, replayable,
+                                        asked, milliseconds(left)};
+              const next_step step = DecideNext(chosen, state, [] { return true; });
+              const bool lost = state.outcome == attempt_outcome::kLost;
+              const bool proven = !lost && state.outcome != attempt_outcome::kAnswered;
+              if (step == next_step::kTryAnother) {
+                cr_assert(proven || (lost && repeatable && made < 3));
+                cr_assert(replayable && left > 0);
+              }
+              if (step == next_step::kSayNotRun) cr_assert(proven);
+              if (lost) cr_assert(step != next_step::kSayNotRun);
+              if (lost && asked) cr_assert(step != next_step::kAskGate);
+            }
+          }
+        }
+      }
+    }
+  }
+}
+
+Test(retry_budget, under_any_load_lets_through_no_more_than_its_share) {
+  cr_assert(rc::check([] {
+    const retry_budget_settings settings{0.2, 1};
+    retry_budget budget;
+    time_point now = time_point{} + milliseconds(1);
+    const time_point start = now;
+    double first_tries = 0;
+    double retries = 0;
+    for (const int step : *rc::gen::container<std::vector<int>>(500, rc::gen::inRange(0, 4))) {
+      now += milliseconds(step);
+      budget.OnFirstTry("slotboard", settings, now);
+      ++first_tries;
+      if (budget.Take("slotboard", settings, now)) ++retries;
+    }
+    const double seconds = std::chrono::duration<double>(now - start).count();
+    RC_ASSERT(retries <= settings.ratio * first_tries + settings.least_per_second * (seconds + 1));
+  }));
+}
