Prove the first promises with real processes that are killed, paused and stopped

Cause: unit tests cannot show what kills, pauses, restarts without memory and outages of the platform do to the whole path. Found: two daemons that start at one moment could each read an empty table, and then stay apart until a meeting row was refreshed 30 s later. Ruled out: shorter refreshes of the rows, which cost writes for good. Change: a newcomer that met too few writes its row first and reads again, so of any two at least one finds the other; failed checks unwind, so that a failing test leaves no process behind for the next one.

--- a/buildscripts/module.cmake
+++ b/buildscripts/module.cmake
@@ -17,7 +17,8 @@
   pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_LINKS} PkgConfig::CRITERION)
-  add_test(NAME ${name} COMMAND ${name})
+  # One at a time: the process tests need the machine to themselves.
+  add_test(NAME ${name} COMMAND ${name} --jobs 1)
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
 
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -147,7 +147,8 @@
   const auto browse = queue.Arrive(Request(9, route_class::kBrowse), time_point{});
   cr_assert(browse.what == admission::kRefuse);
   cr_assert(browse.reason == refusal::kTooLate);
-  cr_assert(queue.Arrive(Request(10, route_class::kBooking), time_point{}).what == admission::kWait);
+  cr_assert(queue.Arrive(Request(10, route_class::kBooking), time_point{}).what ==
+            admission::kWait);
 }
 
 Test(admission_queue, when_draining_releases_the_waiting_and_refuses_the_new) {
@@ -158,5 +159,6 @@
   const auto released = queue.Drain();
   cr_assert(released.size() == 1);
   cr_assert(released.front().decision.reason == refusal::kDraining);
-  cr_assert(queue.Arrive(Request(3, route_class::kBrowse), time_point{}).what == admission::kRefuse);
+  cr_assert(queue.Arrive(Request(3, route_class::kBrowse), time_point{}).what ==
+            admission::kRefuse);
 }
--- a/src/app_catkin_load/main.cc
+++ b/src/app_catkin_load/main.cc
@@ -74,7 +74,9 @@
   load_settings load;
   std::vector<std::string> entries;
   auto* run = app.add_subcommand("run", "Send a mixed load and check every answer");
-  run->add_option("--entry", entries, "Entries to call, as address:port")->required()->delimiter(',');
+  run->add_option("--entry", entries, "Entries to call, as address:port")
+      ->required()
+      ->delimiter(',');
   run->add_option("--service", load.service, "Service to call");
   run->add_option("--callers", load.callers, "Callers at once")->check(CLI::Range(1, 100'000));
   run->add_option("--seconds", load.seconds, "Length of the run")->check(CLI::Range(0.1, 86'400.0));
--- a/src/distribution/internal/join_controller.cc
+++ b/src/distribution/internal/join_controller.cc
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "framework/base/digest.h"
 #include "framework/logging/log.h"
 
 namespace catkinmoor {
@@ -20,11 +21,19 @@
 constexpr const char* kMeetingPrefix = "meet/";
 constexpr std::size_t kMeetingRows = 200;
 constexpr std::size_t kEnoughPeers = 3;
+constexpr std::uint64_t kNewcomerSlots = 32;
+constexpr std::uint64_t kSlotSeed = 6;
 constexpr std::size_t kReaders = 2;
 constexpr milliseconds kFirstPause{100};
 constexpr milliseconds kLongestPause{2'000};
 constexpr milliseconds kProbeTimeout{1'000};
 
+/// The row that a newcomer writes when it found nobody; a bounded number for each region.
+std::string NewcomerSlot(const member_record& self) {
+  const std::uint64_t slot = StableHash(self.vm, kSlotSeed) % kNewcomerSlots;
+  return self.region + ".new." + std::to_string(slot);
+}
+
 }  // namespace
 
 join_controller::join_controller(asio::io_context& context, distribution_board board,
@@ -60,9 +69,14 @@
     std::vector<meeting_point> known;
     if (table_answered) known = std::move(Value(points));
     for (const endpoint& seed : seeds_) known.push_back({"", seed});
-    std::erase_if(known, [&](const meeting_point& each) { return each.control == self.control; });
-    const std::size_t met = co_await MeetPeers(std::move(known));
-    if (table_answered && met < kEnoughPeers) co_await WriteMeetingPoint(self.vm);
+    std::size_t met = co_await MeetPeers(std::move(known));
+    if (table_answered && met < kEnoughPeers) {
+      // Of two daemons that start at one moment, each writes before it reads again, so that at
+      // least one of them finds the other.
+      co_await WriteMeetingPoint(NewcomerSlot(self));
+      points = co_await ReadMeetingPoints();
+      if (Ok(points)) met = co_await MeetPeers(std::move(Value(points)));
+    }
     // A record that peers still hold from before the restart has been refuted by now.
     exchange_.StateSelf();
     const bool learnt = co_await LearnFloor(table_answered);
@@ -109,7 +123,9 @@
 }
 
 asio::awaitable<std::size_t> join_controller::MeetPeers(std::vector<meeting_point> points) {
-  const std::string own = board_.self.Get().data_centre;
+  const member_record self = board_.self.Get();
+  const std::string own = self.data_centre;
+  std::erase_if(points, [&](const meeting_point& each) { return each.control == self.control; });
   std::stable_partition(points.begin(), points.end(),
                         [&](const meeting_point& each) { return each.data_centre == own; });
   std::size_t met = 0;
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -61,9 +61,8 @@
     document_board board;
     std::uint64_t naive = 0;
     std::uint64_t highest_in_force = 0;
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(1, 9),
-                      rc::gen::inRange(0, static_cast<int>(damage::kCount))));
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+        rc::gen::inRange(1, 9), rc::gen::inRange(0, static_cast<int>(damage::kCount))));
     for (const auto& [version, how] : steps) {
       const bool sound = static_cast<damage>(how) == damage::kNone;
       const bool witnessed = *rc::gen::arbitrary<bool>();
--- a/src/document/tests/document_test.cc
+++ b/src/document/tests/document_test.cc
@@ -17,8 +17,8 @@
 
 bool HasProblemAt(const std::variant<document, problems>& parsed, const std::string& place) {
   const auto* found = std::get_if<problems>(&parsed);
-  return found != nullptr &&
-         std::any_of(found->begin(), found->end(), [&](const auto& each) { return each.place == place; });
+  return found != nullptr && std::any_of(found->begin(), found->end(),
+                                         [&](const auto& each) { return each.place == place; });
 }
 
 }  // namespace
@@ -67,8 +67,8 @@
 }
 
 Test(document, with_attempts_on_a_route_that_may_not_repeat_is_refused) {
-  const auto parsed = ParseDocument(
-      WithRoutes(R"({"name": "a", "match": {"prefix": "/"}, "class": "internal", "repeatable": false, "attempts": 2})"));
+  const auto parsed = ParseDocument(WithRoutes(
+      R"({"name": "a", "match": {"prefix": "/"}, "class": "internal", "repeatable": false, "attempts": 2})"));
   cr_assert(HasProblemAt(parsed, "/routes/0/attempts"));
 }
 
--- a/src/framework/http/client.h
+++ b/src/framework/http/client.h
@@ -22,7 +22,8 @@
 
   /// Sends one request and waits for the whole answer. Fails with kUnavailable when the peer could
   /// not be reached, kTimeout when time ran out, kUndecided when the request was sent and the
-  /// answer lost. A GET, HEAD or PUT is sent a second time when a reused connection turns out closed.
+  /// answer lost. A GET, HEAD or PUT is sent a second time when a reused connection turns out
+  /// closed.
   boost::asio::awaitable<result<reply>> Send(endpoint peer, request message, milliseconds timeout);
 
   /// Bytes written to and read from all peers so far.
--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -30,8 +30,7 @@
 /// Whether an idle connection is still open and carries nothing that nobody asked for.
 bool IsQuiet(beast::tcp_stream& idle) {
   char byte = 0;
-  const auto count =
-      ::recv(idle.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto count = ::recv(idle.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/load/internal/convergence.cc
+++ b/src/load/internal/convergence.cc
@@ -144,9 +144,8 @@
 
   std::uint64_t version = 0;
   for (std::int64_t i = 0; i < settings.changes; ++i) {
-    const endpoint& through =
-        settings.daemons[std::uniform_int_distribution<std::size_t>(0, settings.daemons.size() - 1)(
-            random)];
+    const endpoint& through = settings.daemons[std::uniform_int_distribution<std::size_t>(
+        0, settings.daemons.size() - 1)(random)];
     auto answer = Call(settings, through, "PUT",
                        "/v1/documents/" + service + "?expect=" + std::to_string(version),
                        Varied(settings.document, settings.seed * 1'000'000 + i));
--- a/src/load/internal/load_runner.cc
+++ b/src/load/internal/load_runner.cc
@@ -123,10 +123,12 @@
 
   load_request Draw() {
     const load_mix& mix = settings_.mix;
-    std::uniform_int_distribution<std::int64_t> draw(0, mix.browse + mix.booking + mix.download - 1);
+    std::uniform_int_distribution<std::int64_t> draw(0,
+                                                     mix.browse + mix.booking + mix.download - 1);
     const std::int64_t drawn = draw(random_);
-    load_request request{"browse", "GET", "/slots", "load-" + std::to_string(settings_.seed) + "-" +
-                                                        std::to_string(++last_id_)};
+    load_request request{
+        "browse", "GET", "/slots",
+        "load-" + std::to_string(settings_.seed) + "-" + std::to_string(++last_id_)};
     if (drawn >= mix.browse + mix.booking) {
       request.kind = "download";
       request.path = "/bytes?count=" + std::to_string(settings_.download_bytes);
@@ -176,7 +178,8 @@
       if (request.expected_bytes == 0) {
         text.append(block.data(), got);
       } else {
-        for (std::size_t i = 0; i < got && pattern; ++i) pattern = block[i] == PatternByte(position + i);
+        for (std::size_t i = 0; i < got && pattern; ++i)
+          pattern = block[i] == PatternByte(position + i);
       }
       position += got;
     }
@@ -219,8 +222,7 @@
       const auto in_ms = [&](double quantile) {
         return metrics_.Quantile(kLatency, quantile, series) * 1e3;
       };
-      const double longest =
-          std::chrono::duration<double, std::milli>(longest_.at(kind)).count();
+      const double longest = std::chrono::duration<double, std::milli>(longest_.at(kind)).count();
       report.latencies[kind] = {count, in_ms(0.5), in_ms(0.9), in_ms(0.99), longest};
     }
     return report;
--- a/src/load/tests/ledger_check_test.cc
+++ b/src/load/tests/ledger_check_test.cc
@@ -20,8 +20,8 @@
 }  // namespace
 
 Test(ledger_check, with_every_request_run_once_is_clean) {
-  const auto report = Check(Sent("a", "booking", "answered") + Sent("b", "browse", "not-run"),
-                            Ran("a"));
+  const auto report =
+      Check(Sent("a", "booking", "answered") + Sent("b", "browse", "not-run"), Ran("a"));
   cr_assert(report.Clean());
   cr_assert(report.sent == 2);
 }
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -133,8 +133,7 @@
   for (int i = 0; i < 50; ++i) table.Merge(Record("vm" + std::to_string(i), 1, 1));
   std::map<std::string, int> watchers;
   for (int i = 0; i < 50; ++i) {
-    for (const auto& each :
-         Successors(*table.View(), "puget-1", "vm" + std::to_string(i), 3)) {
+    for (const auto& each : Successors(*table.View(), "puget-1", "vm" + std::to_string(i), 3)) {
       ++watchers[each->vm];
     }
   }
--- /dev/null
+++ b/src/process_tests/internal/fleet.cc
@@ -0,0 +1,318 @@
+#include "process_tests/fleet.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "framework/base/digest.h"
+#include "framework/base/endpoint.h"
+#include "framework/http/client.h"
+
+namespace catkinmoor {
+namespace {
+
+namespace bj = boost::json;
+namespace fs = std::filesystem;
+
+constexpr const char* kToken = "test-token";
+constexpr const char* kTokenKey = "test-key";
+constexpr milliseconds kCallTimeout{10'000};
+constexpr milliseconds kLook{20};
+constexpr std::uint16_t kEntryPort = 8080;
+constexpr std::uint16_t kAdministrationPort = 9003;
+
+bj::value ParseOrNull(const std::string& text) {
+  bj::error_code failed;
+  bj::value parsed = bj::parse(text, failed);
+  return failed ? bj::value() : parsed;
+}
+
+int EndOf(pid_t process) {
+  int status = 0;
+  if (::waitpid(process, &status, 0) != process) FailTest("cannot wait for a process");
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+}  // namespace
+
+void FailTest(const std::string& message) { throw std::runtime_error(message); }
+
+void Expect(bool holds, const std::string& message, std::source_location place) {
+  if (holds) return;
+  FailTest(std::string(place.file_name()) + ":" + std::to_string(place.line()) + " " + message);
+}
+
+void PauseBetweenLooks() { std::this_thread::sleep_for(kLook); }
+
+std::string SlotboardDocument(std::int64_t browse_deadline_ms, const std::string& extra_routes) {
+  return R"({"schema": 1, "service": "slotboard", "owner": "fitting", "routes": [)" + extra_routes +
+         R"({"name": "hold", "match": {"methods": ["POST"], "prefix": "/"}, "class": "booking",
+             "repeatable": false, "deadline_ms": 4000, "queue": 1000},
+            {"name": "browse", "match": {"methods": ["GET"], "prefix": "/"}, "class": "browse",
+             "repeatable": true, "attempts": 3, "queue": 1000, "deadline_ms": )" +
+         std::to_string(browse_deadline_ms) + "}]}";
+}
+
+fleet::fleet(fleet_shape shape) : shape_(std::move(shape)) {
+  folder_ = (fs::temp_directory_path() / ("catkinmoor-test-" + RandomId())).string();
+  fs::create_directories(folder_);
+  for (int r = 1; r <= shape_.regions; ++r) {
+    for (int d = 1; d <= shape_.data_centres; ++d) {
+      for (int k = 1; k <= shape_.vms; ++k) {
+        const std::string address = "127." + std::to_string(shape_.subnet + r) + "." +
+                                    std::to_string(d) + "." + std::to_string(k);
+        const std::string region = "region-" + std::to_string(r);
+        addresses_.push_back(address);
+        places_[address] = {region, region + "-" + std::to_string(d)};
+      }
+    }
+  }
+}
+
+fleet::~fleet() {
+  std::vector<pid_t> all;
+  for (const auto& [address, process] : daemons_) all.push_back(process);
+  for (const auto& [address, process] : targets_) all.push_back(process);
+  if (platform_ > 0) all.push_back(platform_);
+  for (const pid_t process : all) ::kill(process, SIGKILL);
+  for (const pid_t process : all) ::waitpid(process, nullptr, 0);
+  std::error_code ignored;
+  if (std::getenv("CATKINMOOR_KEEP") == nullptr) fs::remove_all(folder_, ignored);
+}
+
+pid_t fleet::Spawn(const std::vector<std::string>& arguments, const std::string& log) {
+  std::vector<char*> raw;
+  for (const std::string& each : arguments) raw.push_back(const_cast<char*>(each.c_str()));
+  raw.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  const std::string path = folder_ + "/" + log;
+  posix_spawn_file_actions_addopen(&actions, 2, path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, 2, 1);
+  pid_t process = 0;
+  const int failed =
+      ::posix_spawn(&process, arguments.front().c_str(), &actions, nullptr, raw.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) FailTest("cannot start " + arguments.front());
+  return process;
+}
+
+std::string fleet::PlatformAddress() const {
+  return "127." + std::to_string(shape_.subnet) + ".0.1:9100";
+}
+
+void fleet::WriteDaemonSettings(const std::string& address) {
+  std::ofstream file(folder_ + "/" + address + ".daemon.json");
+  file << R"({"vm": "vm-)" << address << R"(", "region": ")" << places_[address].region
+       << R"(", "data_centre": ")" << places_[address].data_centre << R"(", "address": ")"
+       << address << R"(", "platform": ")" << PlatformAddress() << R"(", "token_key": ")"
+       << kTokenKey << R"(", "teams": [{"team": "*", "token_hmac": ")"
+       << HmacSha256Hex(kTokenKey, kToken) << R"("}], "verbose": true)" << shape_.daemon_extra
+       << "}";
+}
+
+void fleet::WriteTargetSettings(const std::string& address, const std::string& service) {
+  std::ofstream file(folder_ + "/" + address + ".target.json");
+  file << R"({"service": ")" << service << R"(", "address": ")" << address
+       << R"(:8000", "daemon": ")" << address << R"(:9004", "exit": ")" << address
+       << R"(:8081", "renew_ms": 200, "ledger": ")" << folder_ << "/" << address << ".ledger\""
+       << shape_.target_extra << "}";
+}
+
+void fleet::Start() {
+  StartPlatform();
+  for (const std::string& each : addresses_) StartDaemon(each);
+  for (const std::string& each : addresses_) AwaitReady(each);
+  for (const std::string& each : addresses_) AwaitMembers(each, addresses_.size());
+  if (!shape_.targets) return;
+  for (const std::string& each : addresses_) StartTarget(each);
+  for (const std::string& each : addresses_) AwaitTargets(each, addresses_.size());
+}
+
+void fleet::StartPlatform() {
+  platform_ = Spawn({CATKIN_PLATFORM, "--listen", PlatformAddress()}, "platform.log");
+  const auto where = Value(ParseEndpoint(PlatformAddress()));
+  Await("the platform", [&] {
+    return Ok(http::SendAndWait(where, {"GET", "/control/stats", {}, ""}, kCallTimeout));
+  });
+}
+
+void fleet::StartDaemon(const std::string& address) {
+  WriteDaemonSettings(address);
+  daemons_[address] = Spawn({CATKINMOORD, "--settings", folder_ + "/" + address + ".daemon.json"},
+                            address + ".daemon.log");
+}
+
+void fleet::StartTarget(const std::string& address, const std::string& service) {
+  WriteTargetSettings(address, service);
+  targets_[address] = Spawn({CATKIN_TARGET, "--settings", folder_ + "/" + address + ".target.json"},
+                            address + ".target.log");
+}
+
+bool fleet::IsReady(const std::string& address) const {
+  return Administration(address, "GET", "/readyz").status == 200;
+}
+
+void fleet::AwaitReady(const std::string& address) {
+  Await("a daemon to be ready", [&] { return IsReady(address); });
+}
+
+void fleet::AwaitMembers(const std::string& address, std::size_t count) {
+  Await("members to be known", [&] {
+    const bj::value body = ParseOrNull(Administration(address, "GET", "/v1/members").body);
+    return body.is_object() && body.at("members").as_array().size() == count;
+  });
+}
+
+void fleet::SignalDaemon(const std::string& address, int signal) {
+  ::kill(daemons_.at(address), signal);
+  if (signal == SIGKILL) AwaitDaemonEnd(address);
+}
+
+void fleet::SignalTarget(const std::string& address, int signal) {
+  ::kill(targets_.at(address), signal);
+  if (signal == SIGKILL) AwaitTargetEnd(address);
+}
+
+int fleet::AwaitDaemonEnd(const std::string& address) {
+  const int end = EndOf(daemons_.at(address));
+  daemons_.erase(address);
+  return end;
+}
+
+int fleet::AwaitTargetEnd(const std::string& address) {
+  const int end = EndOf(targets_.at(address));
+  targets_.erase(address);
+  return end;
+}
+
+void fleet::SetFaults(const std::string& json) {
+  const auto where = Value(ParseEndpoint(PlatformAddress()));
+  const auto set = http::SendAndWait(where, {"POST", "/control/faults", {}, json}, kCallTimeout);
+  if (!Ok(set) || Value(set).status != 200) FailTest("cannot set the platform's faults");
+}
+
+std::uint64_t fleet::PlatformReads() const {
+  const auto where = Value(ParseEndpoint(PlatformAddress()));
+  const auto stats = http::SendAndWait(where, {"GET", "/control/stats", {}, ""}, kCallTimeout);
+  return Ok(stats) ? ParseOrNull(Value(stats).body).at("reads").to_number<std::uint64_t>() : 0;
+}
+
+http::reply fleet::Administration(const std::string& address, const std::string& method,
+                                  const std::string& target, const std::string& body) const {
+  http::request message{method, target, {}, body};
+  message.headers["authorization"] = std::string("Bearer ") + kToken;
+  auto answer = http::SendAndWait({address, kAdministrationPort}, message, kCallTimeout);
+  return Ok(answer) ? Value(answer) : http::reply{0, {}, Describe(Failure(answer))};
+}
+
+http::reply fleet::Put(const std::string& address, const std::string& text, std::uint64_t expect,
+                       const std::string& change_id) {
+  const std::string id = change_id.empty() ? RandomId() : change_id;
+  return Administration(
+      address, "PUT",
+      "/v1/documents/slotboard?expect=" + std::to_string(expect) + "&change_id=" + id, text);
+}
+
+std::uint64_t fleet::InForce(const std::string& address, const std::string& service) const {
+  const bj::value body = ParseOrNull(Administration(address, "GET", "/v1/documents").body);
+  if (!body.is_object() || !body.as_object().contains("documents")) return 0;
+  for (const bj::value& each : body.at("documents").as_array()) {
+    if (each.at("service").as_string() == service) {
+      return each.at("version").to_number<std::uint64_t>();
+    }
+  }
+  return 0;
+}
+
+void fleet::AwaitInForce(const std::string& address, std::uint64_t version) {
+  Await("a version to be in force", [&] { return InForce(address) >= version; });
+}
+
+void fleet::AwaitInForceEverywhere(std::uint64_t version) {
+  for (const std::string& each : addresses_) AwaitInForce(each, version);
+}
+
+http::reply fleet::Request(const std::string& address, const std::string& method,
+                           const std::string& target, const std::string& service,
+                           const http::header_map& headers) const {
+  http::request message{method, target, headers, ""};
+  message.headers["host"] = service;
+  auto answer = http::SendAndWait({address, kEntryPort}, message, kCallTimeout);
+  return Ok(answer) ? Value(answer) : http::reply{0, {}, Describe(Failure(answer))};
+}
+
+std::size_t fleet::KnownTargets(const std::string& address, const std::string& service) const {
+  const bj::value body = ParseOrNull(Administration(address, "GET", "/v1/members").body);
+  if (!body.is_object() || !body.as_object().contains("members")) return 0;
+  std::size_t count = 0;
+  for (const bj::value& each : body.at("members").as_array()) {
+    const bj::object& member = each.as_object();
+    const bool usable = member.contains("service") && member.at("service").as_string() == service &&
+                        member.at("target_state") == "ready" && member.at("state") == "alive";
+    if (usable) ++count;
+  }
+  return count;
+}
+
+void fleet::AwaitTargets(const std::string& address, std::size_t count,
+                         const std::string& service) {
+  Await("targets to be known", [&] { return KnownTargets(address, service) == count; });
+}
+
+load_settings fleet::Load(std::uint64_t seed, double seconds) {
+  load_settings settings;
+  for (const std::string& each : addresses_) settings.entries.push_back({each, kEntryPort});
+  settings.callers = static_cast<std::int64_t>(addresses_.size()) * 2;
+  settings.rate = 400;
+  settings.mix = {1, 1, 0};
+  settings.work_ms = 10;
+  settings.seconds = seconds;
+  settings.seed = seed;
+  settings.ledger = folder_ + "/" + std::to_string(seed) + ".callers";
+  return settings;
+}
+
+std::vector<std::string> fleet::ReadFiles(const std::string& ending) const {
+  std::vector<std::string> texts;
+  for (const auto& each : fs::directory_iterator(folder_)) {
+    if (each.path().extension() != ending) continue;
+    std::ifstream file(each.path());
+    std::ostringstream text;
+    text << file.rdbuf();
+    texts.push_back(text.str());
+  }
+  return texts;
+}
+
+ledger_report fleet::Check() const {
+  const auto report = CheckLedgers(ReadFiles(".callers"), ReadFiles(".ledger"));
+  if (!Ok(report)) FailTest(Describe(Failure(report)));
+  std::fprintf(stderr, "ledger %s\n", FormatReport(Value(report)).c_str());
+  return Value(report);
+}
+
+std::size_t fleet::CountRuns(const std::string& text) const {
+  std::size_t count = 0;
+  for (const std::string& ledger : ReadFiles(".ledger")) {
+    for (auto at = ledger.find(text); at != std::string::npos; at = ledger.find(text, at + 1)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+}  // namespace catkinmoor
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -37,7 +37,8 @@
   record.region = region;
   record.data_centre = data_centre;
   record.version = {1, 1, member_state::kAlive};
-  record.target = target_announcement{"slotboard", "i-" + vm, {{"track", "stable"}}, state, 10, 130, 0};
+  record.target =
+      target_announcement{"slotboard", "i-" + vm, {{"track", "stable"}}, state, 10, 130, 0};
   return std::make_shared<const member_record>(record);
 }
 
@@ -94,10 +95,13 @@
   canary->target->labels = {{"track", "canary"}};
   auto dead = std::make_shared<member_record>(*Target("g", "puget", "p1"));
   dead->version.state = member_state::kDead;
-  const std::vector<member_ptr> announced = {
-      Target("a", "puget", "p1"), Target("b", "inland", "i1"),
-      Target("c", "puget", "p1", target_state::kLeaving),
-      Target("d", "puget", "p1", target_state::kStarting), other, canary, dead};
+  const std::vector<member_ptr> announced = {Target("a", "puget", "p1"),
+                                             Target("b", "inland", "i1"),
+                                             Target("c", "puget", "p1", target_state::kLeaving),
+                                             Target("d", "puget", "p1", target_state::kStarting),
+                                             other,
+                                             canary,
+                                             dead};
   const auto eligible = EligibleTargets(content, content.routes.front(), {}, announced);
   cr_assert(eligible.size() == 1);
   cr_assert(eligible.front()->vm == "a");
--- a/src/store/tests/document_repository_test.cc
+++ b/src/store/tests/document_repository_test.cc
@@ -138,10 +138,11 @@
     std::map<std::string, result<document_change>> told;
     for (int i = 0; i < 4; ++i) {
       const std::string id = "change" + std::to_string(i);
-      boost::asio::co_spawn(context, repository.Put(Edit(i / 2, id, "text" + id)),
-                            [&told, id](const std::exception_ptr&, result<document_change> outcome) {
-                              told.emplace(id, std::move(outcome));
-                            });
+      boost::asio::co_spawn(
+          context, repository.Put(Edit(i / 2, id, "text" + id)),
+          [&told, id](const std::exception_ptr&, result<document_change> outcome) {
+            told.emplace(id, std::move(outcome));
+          });
     }
     context.run();
     platform.SetFaults(nullptr);
