--- a/buildscripts/fleet.sh
+++ b/buildscripts/fleet.sh
@@ -14,11 +14,35 @@
   printf '%s' "$fleet_token" | openssl dgst -sha256 -hmac demo-key -r | cut -d' ' -f1
 }
 
-fleet_daemon_settings() { # DIR ADDRESS REGION DATA_CENTRE STRATEGY
+# With fleet_links=1 the regions reach each other through link stand-ins of 12 ms each way.
+fleet_links=0
+fleet_link_delay_ms=12
+
+fleet_link_rules() { # REGION_NUMBER
+  local s rules=""
+  ((fleet_links)) || return 0
+  for s in 0 1 2 3; do
+    # The platform, in subnet 0, stands in the first region.
+    ((s == $1 || (s == 0 && $1 == 1))) && continue
+    rules+="{\"prefix\": \"127.$s.\", \"port_offset\": $((10000 * $1))},"
+  done
+  printf '"links": [%s],' "$rules"
+}
+
+fleet_start_links() { # DIR BIN
+  local r
+  for r in 1 2 3; do
+    "$2/catkin_link" --port-offset $((10000 * r)) --port 9001,9002,9100 --delay-ms "$fleet_link_delay_ms" \
+      --control "127.0.0.1:920$r" 2> "$1/link$r.log" &
+    echo $! > "$1/link$r.pid"
+  done
+}
+
+fleet_daemon_settings() { # DIR ADDRESS REGION DATA_CENTRE STRATEGY REGION_NUMBER
   cat > "$1/$2.daemon.json" <<JSON
 {
   "vm": "vm-$2", "region": "$3", "data_centre": "$4", "address": "$2",
-  "platform": "$fleet_platform",
+  "platform": "$fleet_platform", $(fleet_link_rules "$6")
   "token_key": "demo-key",
   "teams": [{"team": "*", "token_hmac": "$fleet_hmac_value"}],
   "distribution": {"strategy": "$5"}
@@ -54,12 +78,13 @@
   fleet_addresses=()
   "$bin/catkin_platform" --listen "$fleet_platform" 2> "$dir/platform.log" &
   echo $! > "$dir/platform.pid"
+  ((fleet_links)) && fleet_start_links "$dir" "$bin"
   for r in 1 2 3; do
     for d in 1 2; do
       for ((k = 1; k <= per; ++k)); do
         address=127.$r.$d.$k
         fleet_addresses+=("$address")
-        fleet_daemon_settings "$dir" "$address" "${fleet_regions[r-1]}" "${fleet_regions[r-1]}-$d" "$strategy"
+        fleet_daemon_settings "$dir" "$address" "${fleet_regions[r-1]}" "${fleet_regions[r-1]}-$d" "$strategy" "$r"
         fleet_start_daemon "$dir" "$bin" "$address"
         if ((${#services[@]} > 0)); then
           fleet_target_settings "$dir" "$address" "${services[turn++ % ${#services[@]}]}"
@@ -88,6 +113,6 @@
   for file in "$1"/*.daemon.pid; do [ -f "$file" ] && kill "$(cat "$file")" 2> /dev/null; done
   wait_file() { while kill -0 "$(cat "$1")" 2> /dev/null; do sleep 0.05; done; }
   for file in "$1"/*.target.pid "$1"/*.daemon.pid; do [ -f "$file" ] && wait_file "$file"; done
-  kill "$(cat "$1/platform.pid")" 2> /dev/null
+  for file in "$1"/link*.pid "$1/platform.pid"; do [ -f "$file" ] && kill "$(cat "$file")" 2> /dev/null; done
   rm -f "$1"/*.pid
 }
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -32,6 +32,7 @@
   milliseconds drain_timeout{30'000};
   std::string token_key;
   std::vector<team_entry> teams;
+  std::vector<translation_rule> links;
   distribution_settings distribution;
   proxy_settings proxy;
   bool verbose = false;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -57,6 +57,12 @@
   return seeds;
 }
 
+proxy_settings TranslatedProxy(const daemon_settings& settings) {
+  proxy_settings proxy = settings.proxy;
+  proxy.translation = address_translation(settings.links);
+  return proxy;
+}
+
 /// Resident memory of this process, in bytes.
 double ResidentBytes() {
   std::ifstream statm("/proc/self/statm");
@@ -82,6 +88,7 @@
  public:
   explicit impl(daemon_settings settings)
       : settings_(std::move(settings)),
+        translation_(settings_.links),
         self_(FirstRecord(settings_)),
         strategy_(MakeSpreadStrategy(settings_.distribution.strategy, seed_())),
         platform_(MakeHttpPlatformClient(http_client_, Value(ParseEndpoint(settings_.platform)),
@@ -96,7 +103,7 @@
         status_(board_, peers_),
         workers_(static_cast<std::size_t>(settings_.workers)),
         entry_(workers_, {documents_, members_, self_, loads_, budget_, metrics_}, peers_,
-               settings_.proxy),
+               TranslatedProxy(settings_)),
         gate_(workers_, {self_, ledger_, metrics_}, settings_.proxy),
         target_(control_, self_, exchange_, gate_, settings_.target_lease),
         teams_(settings_.token_key, settings_.teams),
@@ -224,6 +231,7 @@
   }
 
   daemon_settings settings_;
+  address_translation translation_;
   std::random_device seed_;
   asio::io_context control_{1};
   asio::executor_work_guard<asio::io_context::executor_type> guard_{control_.get_executor()};
@@ -236,10 +244,10 @@
   request_ledger ledger_;
   distribution_board board_{documents_, members_, self_, metrics_};
   std::unique_ptr<spread_strategy> strategy_;
-  http::client http_client_;
+  http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
   document_repository repository_;
-  grpc_peer_client peers_;
+  grpc_peer_client peers_{translation_};
   record_exchange exchange_;
   membership_controller membership_;
   source_controller source_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -65,26 +65,25 @@
     {"max_depth", &ps::max_depth, "How deeply calls may be nested.", false, 1, 64},
 }};
 
+const std::array<field<translation_rule>, 2> kLinkFields = {{
+    {"prefix", &translation_rule::prefix, "Start of the addresses that it holds for.", true, 1},
+    {"port_offset", &translation_rule::port_offset, "Added to the port.", true, -kMostPort,
+     kMostPort},
+}};
+
+void ReadLinks(const bj::value& from, const std::string& place, daemon_settings& to,
+               problems& found) {
+  json::ReadItems<translation_rule>(from, place, kLinkFields, to.links, found);
+}
+bj::value WriteLinks(const daemon_settings& from) {
+  return json::WriteItems<translation_rule>(from.links, kLinkFields);
+}
 void ReadTeams(const bj::value& from, const std::string& place, daemon_settings& to,
                problems& found) {
-  const bj::array* list = from.if_array();
-  if (list == nullptr) {
-    json::Report(found, place, "must be an array");
-    return;
-  }
-  for (std::size_t i = 0; i < list->size(); ++i) {
-    team_entry entry;
-    json::ReadObject<team_entry>((*list)[i], json::Child(place, std::to_string(i)), kTeamFields,
-                                 entry, found);
-    to.teams.push_back(std::move(entry));
-  }
+  json::ReadItems<team_entry>(from, place, kTeamFields, to.teams, found);
 }
 bj::value WriteTeams(const daemon_settings& from) {
-  bj::array list;
-  for (const team_entry& each : from.teams) {
-    list.push_back(json::WriteObject<team_entry>(each, kTeamFields));
-  }
-  return list;
+  return json::WriteItems<team_entry>(from.teams, kTeamFields);
 }
 void ReadDistribution(const bj::value& from, const std::string& place, daemon_settings& to,
                       problems& found) {
@@ -102,7 +101,7 @@
 }
 
 using s = daemon_settings;
-const std::array<field<s>, 22> kFields = {{
+const std::array<field<s>, 23> kFields = {{
     {"vm", &s::vm, "Name of the vm, unique in the fleet.", true, 1},
     {"region", &s::region, "Region of the vm.", true, 1},
     {"data_centre", &s::data_centre, "Data centre of the vm.", true, 1},
@@ -129,6 +128,8 @@
      kHourMs},
     {"token_key", &s::token_key, "Key of the tokens' HMACs."},
     {"teams", custom_member<s>{ReadTeams, WriteTeams}, "Teams and the hashes of their tokens."},
+    {"links", custom_member<s>{ReadLinks, WriteLinks},
+     "Addresses that are reached on another port, as across a forwarding device."},
     {"distribution", custom_member<s>{ReadDistribution, WriteDistribution}, "See distribution."},
     {"proxy", custom_member<s>{ReadProxy, WriteProxy}, "See proxy."},
     {"verbose", &s::verbose, "Whether ordinary events are logged, not only warnings."},
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -60,28 +60,6 @@
       ->name;
 }
 
-template <typename Item>
-void ReadList(const bj::value& from, const std::string& place, std::span<const field<Item>> table,
-              std::vector<Item>& to, problems& found) {
-  const bj::array* list = from.if_array();
-  if (list == nullptr) {
-    Report(found, place, "must be an array");
-    return;
-  }
-  for (std::size_t i = 0; i < list->size(); ++i) {
-    Item item;
-    json::ReadObject<Item>((*list)[i], Child(place, std::to_string(i)), table, item, found);
-    to.push_back(std::move(item));
-  }
-}
-
-template <typename Item>
-bj::value WriteList(const std::vector<Item>& from, std::span<const field<Item>> table) {
-  bj::array list;
-  for (const Item& each : from) list.push_back(json::WriteObject<Item>(each, table));
-  return list;
-}
-
 const std::array<field<route_match>, 4> kMatchFields = {{
     {"methods", &route_match::methods, "Methods that match; all when absent."},
     {"prefix", &route_match::prefix, "Path prefix that matches."},
@@ -115,10 +93,10 @@
   return bj::string(WordOf(kLocalities, from.preference));
 }
 void ReadSplits(const bj::value& from, const std::string& place, route& to, problems& found) {
-  ReadList<route_split>(from, place, kSplitFields, to.splits, found);
+  json::ReadItems<route_split>(from, place, kSplitFields, to.splits, found);
 }
 bj::value WriteSplits(const route& from) {
-  return WriteList<route_split>(from.splits, kSplitFields);
+  return json::WriteItems<route_split>(from.splits, kSplitFields);
 }
 
 const std::array<field<route>, 11> kRouteFields = {{
@@ -164,9 +142,9 @@
   return json::WriteObject<retry_budget_settings>(from.retry_budget, kBudgetFields);
 }
 void ReadRoutes(const bj::value& from, const std::string& place, document& to, problems& found) {
-  ReadList<route>(from, place, kRouteFields, to.routes, found);
+  json::ReadItems<route>(from, place, kRouteFields, to.routes, found);
 }
-bj::value WriteRoutes(const document& from) { return WriteList<route>(from.routes, kRouteFields); }
+bj::value WriteRoutes(const document& from) { return json::WriteItems<route>(from.routes, kRouteFields); }
 
 const std::array<field<document>, 6> kDocumentFields = {{
     {"schema", &document::schema, "Version of the document's form.", true, 1, kDocumentSchema},
--- a/src/framework/http/client.h
+++ b/src/framework/http/client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "framework/base/address_translation.h"
 #include "framework/base/clock.h"
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
@@ -15,7 +16,7 @@
 /// any thread.
 class client {
  public:
-  client();
+  explicit client(address_translation translation = {});
   ~client();
   client(const client&) = delete;
   client& operator=(const client&) = delete;
--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -96,6 +96,7 @@
 struct client::state {
   sharded_map<std::string, std::vector<stream_ptr>> idle;
   std::atomic<std::uint64_t> bytes = 0;
+  address_translation translation;
 
   stream_ptr TakeIdle(const std::string& peer) {
     return idle.With(peer, [&](auto& entries) -> stream_ptr {
@@ -120,7 +121,9 @@
   }
 };
 
-client::client() : state_(std::make_shared<state>()) {}
+client::client(address_translation translation) : state_(std::make_shared<state>()) {
+  state_->translation = std::move(translation);
+}
 client::~client() = default;
 
 std::uint64_t client::BytesCarried() const { return state_->bytes; }
@@ -140,11 +143,12 @@
     stream->expires_after(timeout);
     if (!reused) {
       beast::error_code bad_address;
-      const auto address = asio::ip::make_address(peer.address, bad_address);
+      const endpoint dialled = shared->translation.Apply(peer);
+      const auto address = asio::ip::make_address(dialled.address, bad_address);
       if (bad_address) {
         co_return error{error_kind::kInvalid, step, name, "not an IP number"};
       }
-      auto [failed] = co_await stream->async_connect({address, peer.port}, kAwait);
+      auto [failed] = co_await stream->async_connect({address, dialled.port}, kAwait);
       if (failed) {
         co_return error{error_kind::kUnavailable, step, name, "connect: " + failed.message()};
       }
--- a/src/framework/json/field_table.h
+++ b/src/framework/json/field_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/json/array.hpp>
 #include <chrono>
 #include <cstdint>
 #include <limits>
@@ -137,4 +138,30 @@
   return object;
 }
 
+/// Appends an aggregate for each element of a JSON array.
+template <typename Item>
+void ReadItems(const bj::value& from, const std::string& place,
+               std::type_identity_t<std::span<const field<Item>>> table, std::vector<Item>& to,
+               problems& found) {
+  const bj::array* list = from.if_array();
+  if (list == nullptr) {
+    Report(found, place, "must be an array");
+    return;
+  }
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    Item item;
+    ReadObject<Item>((*list)[i], Child(place, std::to_string(i)), table, item, found);
+    to.push_back(std::move(item));
+  }
+}
+
+/// The JSON array of a list of aggregates.
+template <typename Item>
+bj::value WriteItems(const std::vector<Item>& from,
+                     std::type_identity_t<std::span<const field<Item>>> table) {
+  bj::array list;
+  for (const Item& each : from) list.push_back(WriteObject<Item>(each, table));
+  return list;
+}
+
 }  // namespace catkinmoor::json
--- a/src/peer/grpc_transport.h
+++ b/src/peer/grpc_transport.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "framework/base/address_translation.h"
 #include "peer/peer_transport.h"
 
 namespace catkinmoor {
@@ -17,7 +18,7 @@
 /// failed or timed out is given up, so that the next call opens a new one.
 class grpc_peer_client : public peer_client {
  public:
-  grpc_peer_client();
+  explicit grpc_peer_client(address_translation translation = {});
   ~grpc_peer_client() override;
 
   boost::asio::awaitable<result<spread_reply>> Spread(endpoint, spread_request,
--- a/src/peer/internal/grpc_transport.cc
+++ b/src/peer/internal/grpc_transport.cc
@@ -72,6 +72,7 @@
   sharded_map<std::string, channel_entry> channels;
   std::atomic<std::uint64_t> sent = 0;
   std::atomic<std::uint64_t> received = 0;
+  address_translation translation;
 
   std::shared_ptr<wire::PeerService::Stub> StubFor(const std::string& peer) {
     const time_point now = Now();
@@ -102,7 +103,7 @@
             typename Method>
   asio::awaitable<result<Reply>> Call(const char* step, endpoint where, Request message,
                                       milliseconds timeout, Method method) {
-    const std::string peer = ToString(where);
+    const std::string peer = ToString(translation.Apply(where));
     const auto stub = StubFor(peer);
     auto context = std::make_shared<grpc::ClientContext>();
     context->set_deadline(std::chrono::system_clock::now() + timeout);
@@ -127,7 +128,11 @@
   }
 };
 
-grpc_peer_client::grpc_peer_client() : state_(std::make_unique<state>()) {}
+grpc_peer_client::grpc_peer_client(address_translation translation)
+    : state_(std::make_unique<state>()) {
+  state_->translation = std::move(translation);
+}
+
 grpc_peer_client::~grpc_peer_client() = default;
 
 peer_traffic grpc_peer_client::Traffic() const { return {state_->sent, state_->received}; }
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -379,7 +379,8 @@
     attempt.gate = worker.pool.TakeIdle(target.gate);
     if (attempt.gate == nullptr) {
       const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - Now());
-      auto opened = co_await Connect(target.gate, std::min(left, settings_.connect_timeout));
+      const endpoint dialled = settings_.translation.Apply(target.gate);
+      auto opened = co_await Connect(dialled, std::min(left, settings_.connect_timeout));
       if (!Ok(opened)) {
         attempt.failure = Failure(opened);
         co_return attempt;
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "framework/base/address_translation.h"
 #include "framework/base/clock.h"
 
 namespace catkinmoor {
@@ -18,6 +19,7 @@
   milliseconds fence_timeout{1'000};
   std::int64_t pool_idle = 64;
   std::int64_t max_depth = 6;
+  address_translation translation;
 };
 
 }  // namespace catkinmoor
