--- a/buildscripts/module.cmake
+++ b/buildscripts/module.cmake
@@ -8,17 +8,19 @@
 endfunction()
 
 # Declares one test program of a module, registered with CTest.
-# catkinmoor_test(NAME SOURCES file... LINKS target...)
+# catkinmoor_test(NAME [JOBS count] SOURCES file... LINKS target...)
 function(catkinmoor_test name)
   if(NOT CATKINMOOR_BUILD_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+  cmake_parse_arguments(ARG "" "JOBS" "SOURCES;LINKS" ${ARGN})
+  if(NOT ARG_JOBS)
+    set(ARG_JOBS 1)
+  endif()
   pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_LINKS} PkgConfig::CRITERION)
-  # One at a time: the process tests need the machine to themselves.
-  add_test(NAME ${name} COMMAND ${name} --jobs 1)
+  add_test(NAME ${name} COMMAND ${name} --jobs ${ARG_JOBS})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
 
--- a/src/administration/administration_service.h
+++ b/src/administration/administration_service.h
@@ -54,6 +54,8 @@
   boost::asio::awaitable<http::reply> GetStatus(const call& of);
   boost::asio::awaitable<http::reply> GetChange(const call& of);
   boost::asio::awaitable<http::reply> ListMembers(const call& of);
+  boost::asio::awaitable<http::reply> ListQuarantine(const call& of);
+  boost::asio::awaitable<http::reply> ReleaseQuarantine(const call& of);
   boost::asio::awaitable<http::reply> Drain(const call& of);
   boost::asio::awaitable<http::reply> Metrics(const call& of);
   boost::asio::awaitable<http::reply> Health(const call& of);
--- a/src/administration/internal/administration_service.cc
+++ b/src/administration/internal/administration_service.cc
@@ -111,6 +111,8 @@
       {"GET", "/v1/documents/*/status", true, &administration_service::GetStatus},
       {"GET", "/v1/changes/*", true, &administration_service::GetChange},
       {"GET", "/v1/members", true, &administration_service::ListMembers},
+      {"GET", "/v1/quarantine", true, &administration_service::ListQuarantine},
+      {"DELETE", "/v1/quarantine/*", true, &administration_service::ReleaseQuarantine},
       {"POST", "/v1/drain", true, &administration_service::Drain},
       {"GET", "/metrics", false, &administration_service::Metrics},
       {"GET", "/healthz", false, &administration_service::Health},
@@ -308,6 +310,24 @@
   co_return Json(200, {{"members", std::move(list)}});
 }
 
+asio::awaitable<http::reply> administration_service::ListQuarantine(const call&) {
+  bj::array list;
+  for (const quarantine_entry& each : parts_.board.quarantine.All(Now())) {
+    list.push_back(bj::object{{"fingerprint", each.fingerprint}, {"crashes", each.crashes}});
+  }
+  co_return Json(200, {{"quarantine", std::move(list)}});
+}
+
+asio::awaitable<http::reply> administration_service::ReleaseQuarantine(const call& of) {
+  if (!parts_.board.quarantine.IsQuarantined(of.part, Now())) {
+    co_return ErrorReply({error_kind::kNotFound, "release", "", "no quarantine of " + of.part});
+  }
+  const std::string reporter = "operator-" + RandomId();
+  parts_.exchange.StateCrash({of.part, reporter, 1, true});
+  logging::Info("quarantine released", {{"fingerprint", of.part}, {"team", of.team}});
+  co_return Json(200, {{"released", of.part}});
+}
+
 asio::awaitable<http::reply> administration_service::Drain(const call& of) {
   if (of.team != kAllTeams) {
     co_return ErrorReply({error_kind::kRefused, "drain", "", "only the team * may drain"});
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -81,6 +81,7 @@
 
   bool CanRun(const admission_request& request) const;
   void Start(const admission_request& request);
+  bool IsTooLate(const admission_request& request, time_point now) const;
   double ExpectedWaitMs(route_class kind) const;
 
   std::uint32_t slots_ = 0;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -57,6 +57,14 @@
   return mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
 }
 
+bool admission_queue::IsTooLate(const admission_request& request, time_point now) const {
+  if (request.deadline <= now) return true;
+  if (request.kind == route_class::kBooking) return false;
+  // Work that cannot end in time would take a slot from work that can.
+  const double left_ms = std::chrono::duration<double, std::milli>(request.deadline - now).count();
+  return left_ms < mean_service_ms_;
+}
+
 admission_decision admission_queue::Arrive(const admission_request& request, time_point now) {
   if (draining_) return {admission::kRefuse, refusal::kDraining};
   if (slots_ == 0) return {admission::kRefuse, refusal::kNoTarget};
@@ -97,7 +105,7 @@
   std::vector<admission_release> released;
   for (auto& line : waiting_) {
     for (auto next = line.begin(); next != line.end();) {
-      const bool late = next->deadline <= now;
+      const bool late = IsTooLate(*next, now);
       if (!late && !CanRun(*next)) {
         ++next;
         continue;
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -16,7 +16,7 @@
 using catkinmoor::admission_queue;
 using catkinmoor::admission_release;
 using catkinmoor::admission_request;
-using catkinmoor::hand_outcome;
+using catkinmoor::arrival;
 using catkinmoor::ledger_fate;
 using catkinmoor::milliseconds;
 using catkinmoor::refusal;
@@ -37,14 +37,17 @@
     request_ledger ledger;
     std::set<std::string> handed;
     std::set<std::string> denied;
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
-        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::arbitrary<bool>()));
-    for (const auto& [number, fences] : steps) {
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 5)));
+    for (const auto& [number, step] : steps) {
       const std::string id = std::to_string(number);
-      if (fences) {
-        if (ledger.Fence(id, time_point{}) == ledger_fate::kNeverHanded) denied.insert(id);
-      } else if (ledger.TryHand(id, kRetention, time_point{}) == hand_outcome::kHanded) {
-        RC_ASSERT(handed.insert(id).second);
+      if (step == 0) ledger.Arrive(id, kRetention, time_point{});
+      if (step == 1 && ledger.TryHand(id)) RC_ASSERT(handed.insert(id).second);
+      if (step == 2) ledger.TurnAway(id);
+      if (step >= 3) {
+        const auto fate = ledger.Fence(id, step == 3, time_point{});
+        if (fate == ledger_fate::kNeverHanded) denied.insert(id);
+        RC_ASSERT((fate == ledger_fate::kHanded) == handed.contains(id));
       }
     }
     for (const std::string& id : denied) RC_ASSERT(!handed.contains(id));
@@ -60,9 +63,11 @@
     for (int i = 0; i < kIds; ++i) {
       const std::string id = std::to_string(i);
       if (fences) {
-        denied[i] += ledger.Fence(id, time_point{}) == ledger_fate::kNeverHanded ? 1 : 0;
+        const auto fate = ledger.Fence(id, false, time_point{});
+        denied[i] += fate == ledger_fate::kNeverHanded ? 1 : 0;
       } else {
-        handed[i] += ledger.TryHand(id, kRetention, time_point{}) == hand_outcome::kHanded ? 1 : 0;
+        ledger.Arrive(id, kRetention, time_point{});
+        handed[i] += ledger.TryHand(id) ? 1 : 0;
       }
     }
   };
@@ -75,13 +80,22 @@
   }
 }
 
+Test(request_ledger, asked_to_spare_a_waiting_request_lets_it_go_on) {
+  request_ledger ledger;
+  ledger.Arrive("a", kRetention, time_point{});
+  cr_assert(ledger.Fence("a", true, time_point{}) == ledger_fate::kWaiting);
+  cr_assert(ledger.TryHand("a"));
+  ledger.Answered("a");
+  cr_assert(ledger.Fence("a", true, time_point{}) == ledger_fate::kAnswered);
+}
+
 Test(request_ledger, after_its_retention_forgets_what_was_handed_but_keeps_fences) {
   request_ledger ledger;
-  ledger.TryHand("a", kRetention, time_point{});
-  ledger.Fence("b", time_point{});
+  ledger.Arrive("a", kRetention, time_point{});
+  ledger.Fence("b", false, time_point{});
   ledger.Expire(time_point{} + kRetention);
   cr_assert(ledger.Size() == 1);
-  cr_assert(ledger.TryHand("b", kRetention, time_point{}) == hand_outcome::kFenced);
+  cr_assert(ledger.Arrive("b", kRetention, time_point{}) == arrival::kFenced);
 }
 
 Test(admission_queue, under_any_load_follows_the_naive_reference) {
--- /dev/null
+++ b/src/admission/tests/overload_test.cc
@@ -0,0 +1,153 @@
+// The admission queue under twice the capacity, in virtual time, beside a naive line.
+
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+
+#include "admission/admission_queue.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using catkinmoor::admission;
+using catkinmoor::admission_queue;
+using catkinmoor::admission_release;
+using catkinmoor::admission_request;
+using catkinmoor::milliseconds;
+using catkinmoor::route_class;
+using catkinmoor::time_point;
+
+constexpr std::uint32_t kSlots = 10;
+constexpr milliseconds kService{20};
+constexpr int kSeconds = 20;
+constexpr int kArrivalsPerSecond = 1'000;
+constexpr double kCapacity = kSeconds * 1000.0 / kService.count() * kSlots;
+constexpr milliseconds kBrowseDeadline{300};
+constexpr milliseconds kBookingDeadline{8'000};
+
+/// What a run under overload yielded.
+struct overload_result {
+  int good = 0;
+  int bookings = 0;
+  int good_bookings = 0;
+};
+
+admission_request Draw(std::uint64_t ticket, time_point now, std::mt19937& random) {
+  const bool booking = random() % 5 == 0;
+  return {ticket,
+          booking ? route_class::kBooking : route_class::kBrowse,
+          booking ? "book" : "browse",
+          100'000,
+          100'000,
+          now + (booking ? kBookingDeadline : kBrowseDeadline)};
+}
+
+/// Ends of running requests, soonest first.
+struct running_request {
+  time_point end;
+  admission_request request;
+  bool operator>(const running_request& other) const { return end > other.end; }
+};
+
+/// Plays arrivals and ends in order of time. Start begins a request that may run.
+class overload_clock {
+ public:
+  using start_function = std::function<void(const admission_request&)>;
+  using arrive_function = std::function<void(const admission_request&, time_point)>;
+  using finish_function = std::function<void(const admission_request&, time_point)>;
+
+  overload_result Run(const arrive_function& arrive, const finish_function& finish) {
+    std::mt19937 random(7);
+    const time_point begin{};
+    for (int i = 0; i < kSeconds * kArrivalsPerSecond; ++i) {
+      const time_point now = begin + milliseconds(i * 1'000 / kArrivalsPerSecond);
+      EndUntil(now, finish);
+      const admission_request request = Draw(static_cast<std::uint64_t>(i) + 1, now, random);
+      if (request.kind == route_class::kBooking) ++result_.bookings;
+      now_ = now;
+      arrive(request, now);
+    }
+    EndUntil(time_point::max(), finish);
+    return result_;
+  }
+
+  void Start(const admission_request& request) { running_.push({now_ + kService, request}); }
+
+ private:
+  void EndUntil(time_point now, const finish_function& finish) {
+    while (!running_.empty() && running_.top().end <= now) {
+      const running_request ended = running_.top();
+      running_.pop();
+      now_ = ended.end;
+      if (ended.end <= ended.request.deadline) {
+        ++result_.good;
+        if (ended.request.kind == route_class::kBooking) ++result_.good_bookings;
+      }
+      finish(ended.request, ended.end);
+    }
+  }
+
+  std::priority_queue<running_request, std::vector<running_request>, std::greater<>> running_;
+  time_point now_{};
+  overload_result result_;
+};
+
+/// First come, first served, without shedding.
+overload_result RunNaive() {
+  overload_clock clock;
+  std::deque<admission_request> line;
+  std::uint32_t in_use = 0;
+  const auto advance = [&] {
+    for (; in_use < kSlots && !line.empty(); ++in_use) {
+      clock.Start(line.front());
+      line.pop_front();
+    }
+  };
+  return clock.Run(
+      [&](const admission_request& request, time_point) {
+        line.push_back(request);
+        advance();
+      },
+      [&](const admission_request&, time_point) {
+        --in_use;
+        advance();
+      });
+}
+
+overload_result RunQueue() {
+  overload_clock clock;
+  admission_queue queue;
+  queue.SetSlots(kSlots);
+  std::map<std::uint64_t, admission_request> waiting;
+  return clock.Run(
+      [&](const admission_request& request, time_point now) {
+        const auto decision = queue.Arrive(request, now);
+        if (decision.what == admission::kRun) clock.Start(request);
+        if (decision.what == admission::kWait) waiting.emplace(request.ticket, request);
+      },
+      [&](const admission_request& request, time_point now) {
+        for (const auto& each : queue.Finish(request.route, kService, now)) {
+          if (each.decision.what == admission::kRun) clock.Start(waiting.at(each.ticket));
+          waiting.erase(each.ticket);
+        }
+      });
+}
+
+}  // namespace
+
+Test(admission_queue, at_twice_the_capacity_keeps_goodput_where_a_naive_line_loses_it) {
+  const overload_result naive = RunNaive();
+  const overload_result ours = RunQueue();
+  std::printf("naive %d, ours %d of capacity %.0f\n", naive.good, ours.good, kCapacity);
+  cr_assert(ours.good >= 0.9 * kCapacity);
+  cr_assert(naive.good < 0.5 * kCapacity);
+}
+
+Test(admission_queue, at_twice_the_capacity_admits_every_booking) {
+  const overload_result ours = RunQueue();
+  cr_assert(ours.good_bookings == ours.bookings);
+}
--- a/src/app_catkinctl/main.cc
+++ b/src/app_catkinctl/main.cc
@@ -209,6 +209,19 @@
     });
   }
 
+  int Quarantine(const std::string& release) {
+    if (!release.empty()) {
+      return Print(client_.Call("DELETE", "/v1/quarantine/" + release), [](const bj::value& body) {
+        std::cout << "released " << Text(body, "released") << "\n";
+      });
+    }
+    return Print(client_.Call("GET", "/v1/quarantine"), [](const bj::value& body) {
+      for (const bj::value& each : body.as_object().at("quarantine").as_array()) {
+        std::cout << Text(each, "fingerprint") << "  crashes " << Text(each, "crashes") << "\n";
+      }
+    });
+  }
+
   int Drain() {
     return Print(client_.Call("POST", "/v1/drain"),
                  [](const bj::value&) { std::cout << "draining\n"; });
@@ -381,6 +394,10 @@
   change->add_option("id", options.change_id, "Change id")->required();
   change->callback([&] { code = MakeRunner(common).Change(options.change_id); });
 
+  auto* quarantine = app.add_subcommand("quarantine", "List refused requests, or release one");
+  quarantine->add_option("--release", options.change_id, "Fingerprint to let through again");
+  quarantine->callback([&] { code = MakeRunner(common).Quarantine(options.change_id); });
+
   auto* drain = app.add_subcommand("drain", "Stop the first daemon named, gracefully");
   drain->callback([&] { code = MakeRunner(common).Drain(); });
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
 #include "distribution/membership_controller.h"
+#include "framework/base/digest.h"
 #include "framework/http/client.h"
 #include "framework/http/server.h"
 #include "framework/logging/log.h"
@@ -102,9 +103,17 @@
               Seeds(settings_)),
         status_(board_, peers_),
         workers_(static_cast<std::size_t>(settings_.workers)),
-        entry_(workers_, {documents_, members_, self_, loads_, budget_, metrics_}, peers_,
-               TranslatedProxy(settings_)),
-        gate_(workers_, {self_, ledger_, metrics_}, settings_.proxy),
+        entry_(workers_, {documents_, members_, self_, loads_, budget_, quarantine_, metrics_},
+               peers_, TranslatedProxy(settings_)),
+        gate_(workers_,
+              {self_, ledger_, quarantine_, metrics_,
+               [this](const std::string& fingerprint, const std::string& instance) {
+                 asio::post(control_, [=, this] { StateCrash(fingerprint, instance); });
+               },
+               [this](const std::string& fingerprint) {
+                 asio::post(control_, [=, this] { StateCleared(fingerprint); });
+               }},
+              settings_.proxy),
         target_(control_, self_, exchange_, gate_, settings_.target_lease),
         teams_(settings_.token_key, settings_.teams),
         administration_({board_, repository_, exchange_, status_, teams_,
@@ -173,6 +182,18 @@
     asio::co_spawn(control_, join_.KeepMeetingPoint(), asio::detached);
   }
 
+  /// States a crash. Requests that were in flight together name the same crash, by the target's
+  /// instance, so that it counts once.
+  void StateCrash(const std::string& fingerprint, const std::string& instance) {
+    logging::Warning("target crashed", {{"fingerprint", fingerprint}, {"instance", instance}});
+    exchange_.StateCrash({fingerprint, settings_.vm, StableHash(instance), false});
+  }
+
+  void StateCleared(const std::string& fingerprint) {
+    logging::Info("request cleared", {{"fingerprint", fingerprint}});
+    exchange_.StateCrash({fingerprint, "cleared-" + RandomId(), 1, true});
+  }
+
   void BeginStop() {
     if (stopping_.exchange(true)) return;
     logging::Info("stopping");
@@ -242,7 +263,8 @@
   load_board loads_;
   retry_budget budget_;
   request_ledger ledger_;
-  distribution_board board_{documents_, members_, self_, metrics_};
+  quarantine_board quarantine_;
+  distribution_board board_{documents_, members_, self_, quarantine_, metrics_};
   std::unique_ptr<spread_strategy> strategy_;
   http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -46,7 +46,7 @@
 }};
 
 using ps = proxy_settings;
-const std::array<field<ps>, 10> kProxyFields = {{
+const std::array<field<ps>, 11> kProxyFields = {{
     {"header_bytes", &ps::header_bytes, "Largest request header, in bytes.", false, 256, 1 << 20},
     {"body_bytes", &ps::body_bytes, "Largest request body, in bytes.", false, 0, kMostBytes},
     {"replay_bytes", &ps::replay_bytes, "Largest body kept so that it can be sent twice, in bytes.",
@@ -60,6 +60,8 @@
      kHourMs},
     {"fence_timeout_ms", &ps::fence_timeout, "Time a gate has to say what became of a request.",
      false, 10, kHourMs},
+    {"silence_check_ms", &ps::silence_check,
+     "Time without an answer after which the gate is asked about the request.", false, 50, kHourMs},
     {"pool_idle", &ps::pool_idle, "Idle connections kept for each peer and worker.", false, 0,
      10'000},
     {"max_depth", &ps::max_depth, "How deeply calls may be nested.", false, 1, 64},
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -19,7 +19,7 @@
 constexpr milliseconds kReconcileTimeout{3'000};
 
 bool HasNews(const spread_request& message) {
-  return !message.documents.empty() || !message.members.empty();
+  return !message.documents.empty() || !message.members.empty() || !message.crashes.empty();
 }
 
 /// Takes the next run of records off a long transfer, so that no message grows too large.
@@ -77,7 +77,7 @@
 
 spread_request record_exchange::MakeSpread(const spread_scope& scope) const {
   const member_record self = board_.self.Get();
-  return {self.vm, self.data_centre, scope, {}, {}};
+  return {self.vm, self.data_centre, scope, {}, {}, {}};
 }
 
 void record_exchange::SpreadDocuments(std::vector<document_version> documents, spread_reach reach) {
@@ -90,6 +90,13 @@
   if (MergeMember(record)) QueueMember(record);
 }
 
+void record_exchange::StateCrash(const crash_report& report) {
+  if (!board_.quarantine.Note(report, Now())) return;
+  spread_request message = MakeSpread({spread_reach::kWorld, ""});
+  message.crashes.push_back(report);
+  Hand(std::move(message));
+}
+
 void record_exchange::StateSelf() { StateMember(board_.self.Get()); }
 
 bool record_exchange::MergeMember(const member_record& record) {
@@ -195,7 +202,12 @@
     }
     Hand(std::move(outwards));
   }
+  std::vector<crash_report> fresh_crashes;
+  for (const crash_report& each : message.crashes) {
+    if (board_.quarantine.Note(each, Now())) fresh_crashes.push_back(each);
+  }
   if (!strategy_.ForwardsHeld()) {
+    message.crashes = std::move(fresh_crashes);
     message.documents = std::move(fresh.documents);
     message.members = std::move(fresh.members);
   }
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -22,6 +22,7 @@
   document_board& documents;
   member_table& members;
   self_record& self;
+  quarantine_board& quarantine;
   metrics::registry& metrics;
 };
 
@@ -43,6 +44,9 @@
   /// Merges a record that this daemon states itself and spreads it.
   void StateMember(const member_record& record);
 
+  /// Takes a report of a crash that this daemon states itself and spreads it.
+  void StateCrash(const crash_report& report);
+
   /// Spreads this daemon's own record in its present form.
   void StateSelf();
 
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -144,7 +144,9 @@
 void ReadRoutes(const bj::value& from, const std::string& place, document& to, problems& found) {
   json::ReadItems<route>(from, place, kRouteFields, to.routes, found);
 }
-bj::value WriteRoutes(const document& from) { return json::WriteItems<route>(from.routes, kRouteFields); }
+bj::value WriteRoutes(const document& from) {
+  return json::WriteItems<route>(from.routes, kRouteFields);
+}
 
 const std::array<field<document>, 6> kDocumentFields = {{
     {"schema", &document::schema, "Version of the document's form.", true, 1, kDocumentSchema},
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -178,6 +178,13 @@
   ToWire(from.scope, *to.mutable_scope());
   DocumentsToWire(from.documents, *to.mutable_documents());
   MembersToWire(from.members, *to.mutable_members());
+  for (const crash_report& each : from.crashes) {
+    wire::CrashReport& report = *to.add_crashes();
+    report.set_fingerprint(each.fingerprint);
+    report.set_reporter(each.reporter);
+    report.set_number(each.number);
+    report.set_released(each.released);
+  }
 }
 
 void FromWire(const wire::SpreadRequest& from, spread_request& to) {
@@ -186,6 +193,9 @@
   to.scope = FromWire(from.scope());
   DocumentsFromWire(from.documents(), to.documents);
   MembersFromWire(from.members(), to.members);
+  for (const wire::CrashReport& each : from.crashes()) {
+    to.crashes.push_back({each.fingerprint(), each.reporter(), each.number(), each.released()});
+  }
 }
 
 void ToWire(const spread_reply& from, wire::SpreadReply& to) {
@@ -330,16 +340,17 @@
   to.set_sender(from.sender);
   to.set_request_id(from.request_id);
   to.set_incarnation(from.incarnation);
+  to.set_spare_waiting(from.spare_waiting);
 }
 
 void FromWire(const wire::FenceRequest& from, fence_request& to) {
-  to = {from.sender(), from.request_id(), from.incarnation()};
+  to = {from.sender(), from.request_id(), from.incarnation(), from.spare_waiting()};
 }
 
 void ToWire(const fence_reply& from, wire::FenceReply& to) { to.set_fate(Number(from.fate)); }
 
 void FromWire(const wire::FenceReply& from, fence_reply& to) {
-  to.fate = Bounded(from.fate(), request_fate::kHanded);
+  to.fate = Bounded(from.fate(), request_fate::kAnswered);
 }
 
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -6,6 +6,7 @@
 
 #include "document/document.h"
 #include "membership/member.h"
+#include "quarantine/quarantine_board.h"
 
 namespace catkinmoor {
 
@@ -32,6 +33,7 @@
   spread_scope scope;
   std::vector<document_version> documents;
   std::vector<member_record> members;
+  std::vector<crash_report> crashes;
 
   friend bool operator==(const spread_request&, const spread_request&) = default;
 };
@@ -148,17 +150,19 @@
   friend bool operator==(const gather_reply&, const gather_reply&) = default;
 };
 
-/// Asks a gate what became of a request, and forbids it to hand the request on from now.
+/// Asks a gate what became of a request, and forbids it to hand the request on from now. One that
+/// has arrived and waits can be spared.
 struct fence_request {
   std::string sender;
   std::string request_id;
   std::uint64_t incarnation = 0;
+  bool spare_waiting = false;
 
   friend bool operator==(const fence_request&, const fence_request&) = default;
 };
 
 /// What a gate knows of a request.
-enum class request_fate { kUnknown, kNeverHanded, kHanded };
+enum class request_fate { kUnknown, kNeverHanded, kWaiting, kHanded, kAnswered };
 
 struct fence_reply {
   request_fate fate = request_fate::kUnknown;
--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -26,6 +26,7 @@
   std::string target_extra;
   std::string daemon_extra;
   bool targets = true;
+  bool links = false;
 };
 
 /// A small fleet of real processes for a test: a platform stand-in, and on each vm a daemon and a
@@ -62,6 +63,9 @@
   void SetFaults(const std::string& json);
   std::uint64_t PlatformReads() const;
 
+  /// Tells the link stand-in of a region what to do: cut, freeze, silence or heal. Needs links.
+  void ControlLink(int region, const std::string& what);
+
   /// Puts a document through one daemon. Yields the answer.
   http::reply Put(const std::string& address, const std::string& text, std::uint64_t expect,
                   const std::string& change_id = "");
@@ -102,6 +106,9 @@
     std::string data_centre;
   };
 
+  std::string LinkRules(const std::string& address) const;
+  void StartLinks();
+  std::string LinkControl(int region) const;
   pid_t Spawn(const std::vector<std::string>& arguments, const std::string& log);
   void WriteDaemonSettings(const std::string& address);
   void WriteTargetSettings(const std::string& address, const std::string& service);
@@ -113,6 +120,7 @@
   std::vector<std::string> addresses_;
   std::map<std::string, place> places_;
   pid_t platform_ = 0;
+  std::vector<pid_t> links_;
   std::map<std::string, pid_t> daemons_;
   std::map<std::string, pid_t> targets_;
 };
--- a/src/process_tests/internal/fleet.cc
+++ b/src/process_tests/internal/fleet.cc
@@ -32,6 +32,7 @@
 constexpr milliseconds kCallTimeout{10'000};
 constexpr milliseconds kLook{20};
 constexpr std::uint16_t kEntryPort = 8080;
+constexpr int kLinkOffset = 10'000;
 constexpr std::uint16_t kAdministrationPort = 9003;
 
 bj::value ParseOrNull(const std::string& text) {
@@ -87,6 +88,7 @@
   for (const auto& [address, process] : daemons_) all.push_back(process);
   for (const auto& [address, process] : targets_) all.push_back(process);
   if (platform_ > 0) all.push_back(platform_);
+  all.insert(all.end(), links_.begin(), links_.end());
   for (const pid_t process : all) ::kill(process, SIGKILL);
   for (const pid_t process : all) ::waitpid(process, nullptr, 0);
   std::error_code ignored;
@@ -114,14 +116,50 @@
   return "127." + std::to_string(shape_.subnet) + ".0.1:9100";
 }
 
+std::string fleet::LinkControl(int region) const {
+  return "127." + std::to_string(shape_.subnet) + ".0.1:" + std::to_string(9200 + region);
+}
+
+void fleet::StartLinks() {
+  for (int r = 1; r <= shape_.regions; ++r) {
+    links_.push_back(Spawn({CATKIN_LINK, "--port-offset", std::to_string(kLinkOffset * r), "--port",
+                            "9001,9002,9100", "--delay-ms", "2", "--control", LinkControl(r)},
+                           "link.log"));
+    const auto where = Value(ParseEndpoint(LinkControl(r)));
+    Await("a link", [&] {
+      return Ok(http::SendAndWait(where, {"GET", "/control/stats", {}, ""}, kCallTimeout));
+    });
+  }
+}
+
+void fleet::ControlLink(int region, const std::string& what) {
+  const auto where = Value(ParseEndpoint(LinkControl(region)));
+  const auto done = http::SendAndWait(where, {"POST", "/control/" + what, {}, ""}, kCallTimeout);
+  Expect(Ok(done), "cannot control a link");
+}
+
+/// Rules by which a daemon reaches the other regions, and the platform in the first, over links.
+std::string fleet::LinkRules(const std::string& address) const {
+  if (!shape_.links) return "";
+  const int own = std::stoi(address.substr(4)) - shape_.subnet;
+  std::string rules;
+  for (int other = 0; other <= shape_.regions; ++other) {
+    if (other == own || (other == 0 && own == 1)) continue;
+    if (!rules.empty()) rules += ",";
+    rules += R"({"prefix": "127.)" + std::to_string(shape_.subnet + other) +
+             R"(.", "port_offset": )" + std::to_string(kLinkOffset * own) + "}";
+  }
+  return R"(, "links": [)" + rules + "]";
+}
+
 void fleet::WriteDaemonSettings(const std::string& address) {
   std::ofstream file(folder_ + "/" + address + ".daemon.json");
   file << R"({"vm": "vm-)" << address << R"(", "region": ")" << places_[address].region
        << R"(", "data_centre": ")" << places_[address].data_centre << R"(", "address": ")"
        << address << R"(", "platform": ")" << PlatformAddress() << R"(", "token_key": ")"
        << kTokenKey << R"(", "teams": [{"team": "*", "token_hmac": ")"
-       << HmacSha256Hex(kTokenKey, kToken) << R"("}], "verbose": true)" << shape_.daemon_extra
-       << "}";
+       << HmacSha256Hex(kTokenKey, kToken) << R"("}], "verbose": true)" << LinkRules(address)
+       << shape_.daemon_extra << "}";
 }
 
 void fleet::WriteTargetSettings(const std::string& address, const std::string& service) {
@@ -134,6 +172,7 @@
 
 void fleet::Start() {
   StartPlatform();
+  if (shape_.links) StartLinks();
   for (const std::string& each : addresses_) StartDaemon(each);
   for (const std::string& each : addresses_) AwaitReady(each);
   for (const std::string& each : addresses_) AwaitMembers(each, addresses_.size());
--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -47,6 +47,11 @@
   const load_report seen = load.get();
   Expect(subject.Check().Clean());
   Expect(Count(seen, "answered") > 500);
+  // Requests that merely happened to be in flight are not refused for it.
+  for (const std::string& each : subject.Addresses()) {
+    const std::string listed = subject.Administration(each, "GET", "/v1/quarantine").body;
+    Expect(listed.find("fingerprint") == std::string::npos, listed);
+  }
 }
 
 Test(serving, with_daemons_killed_under_load_keeps_every_word_it_gave) {
@@ -187,3 +192,34 @@
   Expect(answer.status == 508);
   Expect(subject.CountRuns("\"service\":\"slotboard\"") == 6);
 }
+
+Test(serving, of_a_request_that_crashes_targets_loses_two_at_most) {
+  fleet subject(
+      {.subnet = 128, .regions = 2, .vms = 3, .target_extra = R"(, "crash_path": "/poison")"});
+  StartServing(subject);
+  for (int round = 0; round < 3; ++round) {
+    for (const std::string& each : subject.Addresses()) subject.Request(each, "GET", "/poison");
+  }
+  const std::size_t lost = subject.CountRuns("\"path\":\"/poison\"");
+  Expect(lost == 2, "lost " + std::to_string(lost));
+  const auto refused = subject.Request(subject.Addresses().front(), "GET", "/poison");
+  Expect(Header(refused.headers, "x-catkinmoor-outcome") == "not-run");
+  Expect(Header(refused.headers, "x-catkinmoor-reason") == "quarantined");
+  // Other requests go on, to the targets that are left.
+  for (const std::string& each : subject.Addresses()) {
+    Expect(subject.Request(each, "GET", "/slots").status == 200);
+  }
+}
+
+Test(serving, of_a_released_request_lets_it_through_again) {
+  fleet subject({.subnet = 132, .vms = 3, .target_extra = R"(, "crash_path": "/poison")"});
+  StartServing(subject);
+  const std::string& entry = subject.Addresses().front();
+  for (int i = 0; i < 3; ++i) subject.Request(entry, "GET", "/poison");
+  const std::string listed = subject.Administration(entry, "GET", "/v1/quarantine").body;
+  const auto begin = listed.find("\"fingerprint\":\"") + 15;
+  const std::string fingerprint = listed.substr(begin, listed.find('"', begin) - begin);
+  Expect(subject.Administration(entry, "DELETE", "/v1/quarantine/" + fingerprint).status == 200);
+  subject.Request(entry, "GET", "/poison");
+  Expect(subject.CountRuns("\"path\":\"/poison\"") == 3);
+}
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -11,6 +11,7 @@
 #include "peer/peer_transport.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/worker_pool.h"
+#include "quarantine/quarantine_board.h"
 #include "routing/load_board.h"
 #include "routing/retry_policy.h"
 
@@ -23,6 +24,7 @@
   self_record& self;
   load_board& loads;
   retry_budget& budget;
+  quarantine_board& quarantine;
   metrics::registry& metrics;
 };
 
--- a/src/proxy/gate_proxy.h
+++ b/src/proxy/gate_proxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include "peer/messages.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/worker_pool.h"
+#include "quarantine/quarantine_board.h"
 
 namespace catkinmoor {
 
@@ -18,7 +20,12 @@
 struct gate_board {
   self_record& self;
   request_ledger& ledger;
+  quarantine_board& quarantine;
   metrics::registry& metrics;
+  /// Called on any thread when a target crashed while it ran a request.
+  std::function<void(const std::string& fingerprint, const std::string& instance)> on_crash;
+  /// Called on any thread when a request that was in flight at a crash has been answered since.
+  std::function<void(const std::string& fingerprint)> on_cleared;
 };
 
 /// Stands in front of the vm's own target. Nothing reaches the target but through its gate, so the
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -27,6 +27,7 @@
 inline constexpr const char* kRepeatableHeader = "x-catkinmoor-repeatable";
 inline constexpr const char* kConcurrencyHeader = "x-catkinmoor-concurrency";
 inline constexpr const char* kQueueHeader = "x-catkinmoor-queue";
+inline constexpr const char* kFingerprintHeader = "x-catkinmoor-fingerprint";
 inline constexpr const char* kRequestIdHeader = "x-request-id";
 
 /// Values of the outcome header.
@@ -34,6 +35,12 @@
 inline constexpr const char* kUnknown = "unknown";
 inline constexpr const char* kRan = "ran";
 
+/// Reason of an answer when the deadline passed.
+inline constexpr const char* kDeadline = "deadline";
+
+/// Reason of an answer when the target ended while it ran the request.
+inline constexpr const char* kCrashed = "target-crashed";
+
 /// What an entry tells a gate about a call.
 struct gate_call {
   std::string attempt;
@@ -46,6 +53,7 @@
   bool repeatable = false;
   std::int64_t concurrency = 1;
   std::int64_t queue = 0;
+  std::string fingerprint;
 
   friend bool operator==(const gate_call&, const gate_call&) = default;
 };
@@ -70,6 +78,7 @@
   to.set(kRepeatableHeader, call.repeatable ? "1" : "0");
   to.set(kConcurrencyHeader, std::to_string(call.concurrency));
   to.set(kQueueHeader, std::to_string(call.queue));
+  to.set(kFingerprintHeader, call.fingerprint);
 }
 
 /// Reads a call, or nothing when a field is missing or malformed.
@@ -96,7 +105,8 @@
                    milliseconds(*deadline),
                    text(kRepeatableHeader) == "1",
                    *concurrency,
-                   *queue};
+                   *queue,
+                   std::string(text(kFingerprintHeader))};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -40,18 +40,30 @@
   time_point deadline;
   std::int64_t depth = 0;
   std::string body;
+  std::string fingerprint;
   bool streams = false;
   bool caller_expects = false;
   bool head = false;
   bool keep_alive = true;
 };
 
+/// One wait for the answer of a gate, shared with what watches it.
+struct answer_wait {
+  explicit answer_wait(const asio::any_io_executor& executor) : timer(executor) {}
+
+  asio::steady_timer timer;
+  connection* gate = nullptr;
+  bool active = true;
+  request_fate verdict = request_fate::kUnknown;
+};
+
 /// How an attempt ended, with what is needed to deliver its answer.
 struct attempt_result {
   attempt_outcome outcome = attempt_outcome::kNotSent;
   bool gate_asked = false;
   bool body_used = false;
   bool caller_gone = false;
+  bool silent = false;
   connection_ptr gate;
   std::unique_ptr<response_parser> answer;
   std::string reason;
@@ -260,6 +272,13 @@
                                  call.body, settings_.progress_timeout);
       if (!whole) co_return false;
     }
+    call.fingerprint = Fingerprint(call.service, std::string(parser.get().method_string()),
+                                   std::string(parser.get().target()), call.body);
+    if (board_.quarantine.IsQuarantined(call.fingerprint, Now())) {
+      own_answer refused = NotRun(503, "quarantined", "entry",
+                                  "requests like this one crashed targets: " + call.fingerprint);
+      co_return co_await AnswerOwn(caller, parser, call, std::move(refused));
+    }
     co_return co_await Carry(worker, caller, parser, call);
   }
 
@@ -271,6 +290,7 @@
     board_.budget.OnFirstTry(call.service, content.retry_budget, call.started);
     selection_context context = MakeContext();
     attempt_state state{.attempts_made = 0};
+    std::size_t crashes = 0;
     own_answer last = NotRun(503, "no-target", "pick target", "no target takes this route now");
     for (;;) {
       context.now = Now();
@@ -288,12 +308,22 @@
           co_await TryTarget(worker, caller, parser, call, *target, attempt_id);
       if (attempt.caller_gone) co_return false;
       NoteLoad(*target, attempt);
+      if (attempt.silent) {
+        // The target itself may be well; a new connection to it can work.
+        Count("catkinmoor_silent_connections_total", call);
+        worker.pool.Forget(target->gate);
+        context.tried.erase(target->vm);
+      }
       state.body_replayable = state.body_replayable && !attempt.body_used;
       state.gate_asked = attempt.gate_asked;
+      if (attempt.reason == kCrashed) ++crashes;
       next_step next = Decide(call, state, attempt.outcome);
+      // A request that has crashed two targets is not tried on a third.
+      const bool poison = crashes >= quarantine_board::kCrashes;
+      if (poison && next == next_step::kTryAnother) next = next_step::kSayUnknown;
       if (next == next_step::kAskGate) {
         Count("catkinmoor_fences_total", call);
-        const request_fate fate = co_await AskGate(*target, attempt_id, sent_at);
+        const request_fate fate = co_await AskGate(*target, attempt_id, sent_at, false);
         state.gate_asked = true;
         next = Decide(call, state,
                       fate == request_fate::kNeverHanded ? attempt_outcome::kFencedNotRun
@@ -303,7 +333,8 @@
         co_return co_await Deliver(worker, caller, parser, call, *target, std::move(attempt));
       }
       if (next == next_step::kSayUnknown) {
-        const unsigned status = Now() >= call.deadline ? 504 : 502;
+        const bool late = Now() >= call.deadline || attempt.reason == kDeadline;
+        const unsigned status = late ? 504 : 502;
         own_answer unknown{status, kUnknown, "lost", std::move(attempt.failure)};
         co_return co_await AnswerOwn(caller, parser, call, std::move(unknown));
       }
@@ -347,11 +378,11 @@
     if (load) board_.loads.OnReport(target.vm, *load, Now());
   }
 
-  /// Asks the gate over a new connection what became of an attempt.
+  /// Asks the gate over another connection what became of an attempt.
   asio::awaitable<request_fate> AskGate(member_record target, std::string attempt_id,
-                                        time_point sent_at) {
+                                        time_point sent_at, bool spare_waiting) {
     const fence_request question{board_.self.Get().vm, std::move(attempt_id),
-                                 target.version.incarnation};
+                                 target.version.incarnation, spare_waiting};
     auto reply = co_await peers_.Fence(target.control, question, settings_.fence_timeout);
     if (!Ok(reply) || Now() - sent_at >= kGateMemory) co_return request_fate::kUnknown;
     co_return Value(reply).fate;
@@ -369,7 +400,8 @@
             left,
             call.chosen->repeatable,
             call.chosen->concurrency,
-            call.chosen->queue};
+            call.chosen->queue,
+            call.fingerprint};
   }
 
   asio::awaitable<attempt_result> TryTarget(worker_state& worker, connection& caller,
@@ -395,13 +427,65 @@
       co_await SendWhole(parser, call, to_gate, attempt);
     }
     const bool sent = attempt.outcome == attempt_outcome::kLost && attempt.answer == nullptr;
-    if (sent && !attempt.caller_gone) co_await ReadAnswer(caller, call, attempt);
+    if (sent && !attempt.caller_gone) {
+      const auto wait = WatchSilence(attempt, target, attempt_id, Now());
+      co_await ReadAnswer(caller, call, attempt);
+      wait->active = false;
+      wait->timer.cancel();
+      TakeVerdict(*wait, attempt);
+    }
     board_.loads.OnEnded(target.vm);
     if (attempt.answer != nullptr) co_await Classify(worker, target, attempt);
     if (attempt.failure.peer.empty()) attempt.failure.peer = ToString(target.gate);
     co_return attempt;
   }
 
+  /// Has the gate asked about an attempt for as long as no answer comes. The connection may have
+  /// gone silent while others work.
+  std::shared_ptr<answer_wait> WatchSilence(const attempt_result& attempt,
+                                            const member_record& target,
+                                            const std::string& attempt_id, time_point sent_at) {
+    auto wait = std::make_shared<answer_wait>(attempt.gate->stream.get_executor());
+    wait->gate = attempt.gate.get();
+    wait->timer.expires_after(settings_.silence_check);
+    wait->timer.async_wait([self = shared_from_this(), wait, target, attempt_id,
+                            sent_at](const beast::error_code& failed) {
+      if (failed || !wait->active) return;
+      asio::co_spawn(wait->timer.get_executor(),
+                     self->AskWhileSilent(wait, target, attempt_id, sent_at), asio::detached);
+    });
+    return wait;
+  }
+
+  asio::awaitable<void> AskWhileSilent(std::shared_ptr<answer_wait> wait, member_record target,
+                                       std::string attempt_id, time_point sent_at) {
+    bool answered_before = false;
+    while (wait->active) {
+      const request_fate fate = co_await AskGate(target, attempt_id, sent_at, true);
+      if (!wait->active) co_return;
+      const bool answered = fate == request_fate::kAnswered;
+      // An answer may have been on its way when the gate was asked first.
+      if (fate == request_fate::kNeverHanded || (answered && answered_before)) {
+        wait->verdict = fate;
+        wait->gate->stream.cancel();
+        co_return;
+      }
+      answered_before = answered;
+      wait->timer.expires_after(settings_.silence_check);
+      co_await wait->timer.async_wait(kAwait);
+    }
+  }
+
+  static void TakeVerdict(const answer_wait& wait, attempt_result& attempt) {
+    if (wait.verdict == request_fate::kUnknown || attempt.answer != nullptr) return;
+    attempt.silent = true;
+    attempt.gate_asked = true;
+    attempt.caller_gone = false;
+    if (wait.verdict == request_fate::kNeverHanded)
+      attempt.outcome = attempt_outcome::kFencedNotRun;
+    attempt.reason = "silent";
+  }
+
   /// Sends a request whose body is at hand.
   asio::awaitable<void> SendWhole(request_parser& parser, const call_state& call,
                                   const gate_call& to_gate, attempt_result& attempt) {
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -20,6 +20,7 @@
 
 constexpr milliseconds kHandedRetention{30'000};
 constexpr milliseconds kLedgerSweep{1'000};
+constexpr milliseconds kCrashLook{50};
 constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
 
 own_answer NotRun(unsigned status, std::string reason, std::string message) {
@@ -91,9 +92,17 @@
 
   request_fate Fence(const fence_request& message) {
     if (message.incarnation != board_.self.Get().version.incarnation) return request_fate::kUnknown;
-    return board_.ledger.Fence(message.request_id, Now()) == ledger_fate::kHanded
-               ? request_fate::kHanded
-               : request_fate::kNeverHanded;
+    switch (board_.ledger.Fence(message.request_id, message.spare_waiting, Now())) {
+      case ledger_fate::kNeverHanded:
+        return request_fate::kNeverHanded;
+      case ledger_fate::kWaiting:
+        return request_fate::kWaiting;
+      case ledger_fate::kHanded:
+        return request_fate::kHanded;
+      case ledger_fate::kAnswered:
+        break;
+    }
+    return request_fate::kAnswered;
   }
 
  private:
@@ -165,6 +174,9 @@
     if (present.service != call->service || present.instance != call->instance) {
       return NotRun(503, "other-target", "the target is another one now");
     }
+    if (board_.quarantine.IsQuarantined(call->fingerprint, Now())) {
+      return NotRun(503, "quarantined", "requests like this one crashed targets");
+    }
     if (present.state != target_state::kReady) {
       return NotRun(503, "draining", "the target takes no new work");
     }
@@ -190,12 +202,29 @@
   asio::awaitable<bool> HandleCall(std::size_t worker, connection& entry, request_parser& parser) {
     const activity counted(active_);
     const auto call = ReadCall(parser.get());
-    auto target = Target();
+    const auto target = Target();
     if (auto mismatch = Mismatch(call, target)) {
       co_return co_await Refuse(entry, parser, std::move(*mismatch));
     }
-    const time_point deadline = Now() + call->deadline;
-    admission_request request{0, call->kind, call->route, call->concurrency, call->queue, deadline};
+    switch (board_.ledger.Arrive(call->attempt, call->deadline + kHandedRetention, Now())) {
+      case arrival::kNew:
+        break;
+      case arrival::kFenced:
+        co_return co_await Refuse(entry, parser, NotRun(503, "fenced", "the call was given up"));
+      case arrival::kDuplicate:
+        co_return co_await Refuse(entry, parser,
+                                  Unknown(409, "duplicate", "", "the call arrived before"));
+    }
+    const bool keep = co_await Admit(worker, entry, parser, *call);
+    // Nothing happens to a call that was handed on; any other never will be.
+    board_.ledger.TurnAway(call->attempt);
+    co_return keep;
+  }
+
+  asio::awaitable<bool> Admit(std::size_t worker, connection& entry, request_parser& parser,
+                              gate_call call) {
+    const time_point deadline = Now() + call.deadline;
+    admission_request request{0, call.kind, call.route, call.concurrency, call.queue, deadline};
     const auto place = std::make_shared<slot_controller::place>(entry.stream.get_executor());
     admission_decision decision;
     {
@@ -207,13 +236,13 @@
       co_return co_await Refuse(entry, parser,
                                 NotRun(StatusFor(decision.reason), reason, "not admitted"));
     }
-    const slot_controller::lease slot(slots_, call->route);
+    const slot_controller::lease slot(slots_, call.route);
     // The target may have changed while the call waited.
-    target = Target();
+    const auto target = Target();
     if (auto mismatch = Mismatch(call, target)) {
       co_return co_await Refuse(entry, parser, std::move(*mismatch));
     }
-    co_return co_await HandOn(worker, entry, parser, *call, *target, deadline);
+    co_return co_await HandOn(worker, entry, parser, std::move(call), *target, deadline);
   }
 
   asio::awaitable<result<connection_ptr>> Reach(std::size_t worker, endpoint where) {
@@ -236,15 +265,9 @@
     }
     // An entry that closed its connection has given the call up; this daemon may have been paused.
     if (IsClosed(entry)) co_return false;
-    const milliseconds retention = call.deadline + kHandedRetention;
-    const hand_outcome handed = board_.ledger.TryHand(call.attempt, retention, Now());
-    if (handed == hand_outcome::kFenced) {
+    if (!board_.ledger.TryHand(call.attempt)) {
       co_return co_await Refuse(entry, parser, NotRun(503, "fenced", "the call was given up"));
     }
-    if (handed == hand_outcome::kDuplicate) {
-      co_return co_await Refuse(entry, parser,
-                                Unknown(409, "duplicate", "", "the call was handed on before"));
-    }
     const bool head = parser.get().method() == bhttp::verb::head;
     PrepareRequest(parser.get(), call, deadline);
     const transfer_outcome sent =
@@ -253,8 +276,9 @@
       Abort(*backend);
       co_return false;
     }
-    co_return co_await Answer(worker, entry, std::move(backend), target.where, head,
-                              parser.keep_alive() && parser.is_done(), deadline);
+    const bool keep = parser.keep_alive() && parser.is_done();
+    co_return co_await Answer(worker, entry, std::move(backend), target.where, call, head, keep,
+                              deadline);
   }
 
   static void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) {
@@ -272,7 +296,8 @@
 
   /// Reads the target's answer and sends it on to the entry.
   asio::awaitable<bool> Answer(std::size_t worker, connection& entry, connection_ptr backend,
-                               endpoint where, bool head, bool keep, time_point deadline) {
+                               endpoint where, gate_call call, bool head, bool keep,
+                               time_point deadline) {
     std::optional<response_parser> parser;
     beast::error_code failed;
     bool entry_gone = false;
@@ -295,12 +320,19 @@
     if (failed) {
       Abort(*backend);
       if (entry_gone) co_return false;
-      const bool late = failed == beast::error::timeout;
-      board_.metrics.Count("catkinmoor_gate_lost_total", {{"late", late ? "true" : "false"}});
-      co_return co_await SendOwnAnswer(entry,
-                                       Unknown(late ? 504 : 502, late ? "deadline" : "target-lost",
-                                               ToString(where), failed.message()),
-                                       keep, head, settings_.progress_timeout);
+      own_answer lost = Unknown(502, "target-lost", ToString(where), failed.message());
+      if (failed == beast::error::timeout) {
+        lost.status = 504;
+        lost.reason = kDeadline;
+      } else {
+        const bool crashed = co_await IsGone(where);
+        if (crashed) {
+          lost.reason = kCrashed;
+          board_.on_crash(call.fingerprint, call.instance);
+        }
+      }
+      board_.metrics.Count("catkinmoor_gate_lost_total", {{"reason", lost.reason}});
+      co_return co_await SendOwnAnswer(entry, lost, keep, head, settings_.progress_timeout);
     }
     const bool reusable = parser->keep_alive();
     PrepareAnswer(*parser, keep);
@@ -315,10 +347,23 @@
       Abort(entry);
       co_return false;
     }
+    board_.ledger.Answered(call.attempt);
+    if (board_.quarantine.OnSuccess(call.fingerprint)) board_.on_cleared(call.fingerprint);
     if (reusable) pools_[worker].Return(where, std::move(backend));
     co_return keep;
   }
 
+  /// Whether nothing listens any more where a connection has just broken.
+  asio::awaitable<bool> IsGone(endpoint where) {
+    const auto opened = co_await Connect(where, settings_.connect_timeout);
+    if (!Ok(opened)) co_return Failure(opened).kind == error_kind::kUnavailable;
+    // The system closes the sockets of a dying process in no particular order, so its listening one
+    // may still take a connection, which then breaks too.
+    asio::steady_timer pause(co_await asio::this_coro::executor, kCrashLook);
+    co_await pause.async_wait(kAwait);
+    co_return IsClosed(*Value(opened));
+  }
+
   asio::awaitable<transfer_outcome> SendHeader(connection& to, response_parser& parser) {
     bhttp::response_serializer<bhttp::buffer_body> serializer(parser.get());
     to.stream.expires_after(settings_.progress_timeout);
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -67,8 +67,10 @@
           co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
       if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kReadFailed;
       message.body().size = block.size() - message.body().size;
-      message.body().data = block.data();
       message.body().more = !parser.is_done();
+      // An empty block would be written as the last chunk and end a body that goes on.
+      if (message.body().size == 0 && !parser.is_done()) continue;
+      message.body().data = message.body().size == 0 ? nullptr : block.data();
     }
     to.stream.expires_after(progress);
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -139,6 +139,9 @@
   connection_ptr TakeIdle(const endpoint& peer);
   void Return(const endpoint& peer, connection_ptr idle);
 
+  /// Closes the idle connections to one peer.
+  void Forget(const endpoint& peer) { idle_.erase(peer); }
+
   /// Closes all idle connections.
   void Clear() { idle_.clear(); }
 
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -17,6 +17,7 @@
   milliseconds progress_timeout{15'000};
   milliseconds connect_timeout{1'000};
   milliseconds fence_timeout{1'000};
+  milliseconds silence_check{1'000};
   std::int64_t pool_idle = 64;
   std::int64_t max_depth = 6;
   address_translation translation;
--- a/src/stand_in/internal/link_stand_in.cc
+++ b/src/stand_in/internal/link_stand_in.cc
@@ -49,6 +49,7 @@
   tcp::socket far;
   direction outward;
   direction homeward;
+  bool silent = false;
 
   void Close() {
     boost::system::error_code ignored;
@@ -79,8 +80,7 @@
       if (!failed) acceptor->bind({asio::ip::address_v4::any(), shifted}, failed);
       if (!failed) acceptor->listen(asio::socket_base::max_listen_connections, failed);
       if (failed) {
-        return error{error_kind::kUnavailable, "listen", std::to_string(shifted),
-                     failed.message()};
+        return error{error_kind::kUnavailable, "listen", std::to_string(shifted), failed.message()};
       }
       acceptors_.push_back(std::move(acceptor));
       asio::co_spawn(context_, Accept(*acceptors_.back(), port), asio::detached);
@@ -94,6 +94,9 @@
       for (const auto& each : open_) each->Close();
     }
     if (message.Path() == "/control/freeze") frozen_ = true;
+    if (message.Path() == "/control/silence") {
+      for (const auto& each : open_) each->silent = true;
+    }
     if (message.Path() == "/control/heal") cut_ = frozen_ = false;
     const boost::json::object body{{"bytes_out", bytes_out_},
                                    {"bytes_home", bytes_home_},
@@ -140,12 +143,13 @@
   }
 
   static asio::awaitable<void> Read(std::shared_ptr<impl> self,
-                                    std::shared_ptr<pair_of_sockets> /*alive*/, tcp::socket& from,
+                                    std::shared_ptr<pair_of_sockets> both, tcp::socket& from,
                                     direction& way, std::uint64_t& count) {
     while (!way.ended) {
       std::vector<char> bytes(kBlockBytes);
       auto [failed, got] = co_await from.async_read_some(asio::buffer(bytes), kAwait);
       if (failed) break;
+      if (both->silent) continue;
       bytes.resize(got);
       count += got;
       way.blocks.push_back({Now() + self->settings_.delay, std::move(bytes)});
--- a/src/stand_in/link_stand_in.h
+++ b/src/stand_in/link_stand_in.h
@@ -23,8 +23,9 @@
 
 /// Stands for the links that lead out of one region. It listens on every loopback address at the
 /// ports given plus an offset, and carries each connection to the same address without the offset,
-/// every byte one delay later. Its control interface counts bytes, cuts the link, or freezes it:
-/// GET /control/stats, POST /control/cut, /control/freeze, /control/heal.
+/// every byte one delay later. Its control interface counts bytes, cuts the link, freezes it, or
+/// silences the connections that are open now while new ones work: GET /control/stats, POST
+/// /control/cut, /control/freeze, /control/silence, /control/heal.
 class link_stand_in {
  public:
   link_stand_in(boost::asio::io_context& context, link_settings settings);
