--- a/buildscripts/fleet.sh
+++ b/buildscripts/fleet.sh
@@ -16,6 +16,7 @@
 
 # With fleet_links=1 the regions reach each other through link stand-ins of 12 ms each way.
 fleet_links=0
+fleet_extra=""
 fleet_link_delay_ms=12
 
 fleet_link_rules() { # REGION_NUMBER
@@ -42,7 +43,7 @@
   cat > "$1/$2.daemon.json" <<JSON
 {
   "vm": "vm-$2", "region": "$3", "data_centre": "$4", "address": "$2",
-  "platform": "$fleet_platform", $(fleet_link_rules "$6")
+  "platform": "$fleet_platform", $fleet_extra $(fleet_link_rules "$6")
   "token_key": "demo-key",
   "teams": [{"team": "*", "token_hmac": "$fleet_hmac_value"}],
   "distribution": {"strategy": "$5"}
--- /dev/null
+++ b/buildscripts/mutants.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Shows that proofs can fail: takes one mechanism out at a time in a copy of the tree, and expects the
+# named test to fail. Prints a line for each; exits 1 if a mutant survives.
+#
+#   mutants.sh [NAME...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy=build/mutants
+mkdir -p "$copy"
+survivors=0
+
+# name | file | perl substitution | test program | filter
+mutants=$(cat << 'TABLE'
+older-version|src/distribution/internal/document_board.cc|s/offered.version < slot.held->source.version/false/; s/offered.version < held.version/false/|document_board_test|*
+digest|src/distribution/internal/document_board.cc|s/Sha256Hex\(offered.text\) != offered.digest/false/|document_board_test|*
+witness|src/distribution/internal/document_board.cc|s/if \(witnessed\) PutInForce/PutInForce/g|document_board_test|*
+other-text|src/distribution/internal/document_board.cc|s/slot.held->source.digest == offered.digest/true/|document_board_test|*
+member-order|src/membership/internal/member_table.cc|s/record.version < held.record->version/false/|membership_test|*
+suspicion|src/membership/internal/failure_detector.cc|s/now - next->second.since >= settings_.suspicion/true/|membership_test|*
+hop-candidates|src/distribution/internal/spread_plan.cc|s/kCandidates = 3/kCandidates = 1/|spread_plan_test|*
+segment-end|src/distribution/internal/spread_plan.cc|s/members\[end - 1\]->vm/members.back()->vm/|spread_plan_test|*
+change-id|src/store/internal/document_repository.cc|s/\{DecisionKey\(next.change_id\), row, 0\}/{DecisionKey(next.change_id), row, std::nullopt}/; s/if \(const auto& row = Value\(decided\)\)/if (const auto& row = Value(decided); false)/|document_repository_test|*
+compare-and-set|src/store/internal/document_repository.cc|s/row, view.document_revision\}/row, std::nullopt}/; s/view.head_revision\}/std::nullopt}/; s/\{LogKey\(next.change\), row, 0\}/{LogKey(next.change), row, std::nullopt}/; s/Padded\(next.version\), row, 0\}/Padded(next.version), row, std::nullopt}/|document_repository_test|*
+fence|src/admission/internal/request_ledger.cc|s/held = \{stage::kFenced, now \+ kFenceRetention\};//|admission_test|*
+shedding|src/admission/internal/admission_queue.cc|s/return left_ms < mean_service_ms_;/return false;/|admission_test|*
+class-order|src/admission/internal/admission_queue.cc|s/return static_cast<std::size_t>\(kind\);/return 3 - static_cast<std::size_t>(kind);/|admission_test|*
+repeat-lost|src/routing/retry_policy.h|s/may_repeat = chosen_route.repeatable &&/may_repeat =/|routing_test|*
+leaving-target|src/routing/internal/target_selector.cc|s/each->target->state == target_state::kReady &&//|routing_test|*
+retry-share|src/routing/internal/retry_policy.cc|s/if \(own.tokens < 1\) return false;//|routing_test|*
+crash-count|src/quarantine/quarantine_board.h|s/kCrashes = 2;/kCrashes = 200;/|serving_process_test|*/of_a_request_that_crashes*
+empty-block|src/proxy/internal/stream_http.cc|s/if \(message.body\(\).size == 0 && !parser.is_done\(\)\) continue;//; s/message.body\(\).size == 0 \? nullptr : block.data\(\)/block.data()/|wire_process_test|*/of_a_chunked*
+cut-is-broken|src/proxy/internal/entry_proxy.cc|s/if \(sent != transfer_outcome::kWhole\) \{/if (false) {/|wire_process_test|*/of_a_counted*
+late-answer|src/proxy/internal/gate_proxy.cc|s/Abort\(\*backend\);\n      if \(entry_gone\)/pools_[worker].Return(where, std::move(backend));\n      if (entry_gone)/|wire_process_test|*/of_an_answer_past*
+neighbours-floor|src/distribution/internal/join_controller.cc|s/const std::size_t met = co_await MeetPeers\(std::move\(known\)\);/const std::size_t met = 3;/; s/std::size_t met = co_await MeetPeers\(std::move\(known\)\);/std::size_t met = 3;/|distribution_process_test|*/*from_the_past*
+unheard|src/distribution/internal/status_controller.cc|s/AddUnheard\(report, \*board_.members.View\(\)\);//|distribution_process_test|*/with_a_daemon_paused*
+silence|src/proxy/internal/entry_proxy.cc|s/wait->gate->stream.cancel\(\);//|links_process_test|*/with_connections_gone*
+drain-gate|src/daemon/internal/target_registration.cc|s/target_state::kLeaving;/target_state::kReady;/|serving_process_test|*/with_every_daemon_stopped*
+TABLE
+)
+
+while IFS='|' read -r name file change test filter; do
+  [ -z "$name" ] && continue
+  if (($# > 0)) && [[ " $* " != *" $name "* ]]; then continue; fi
+  mkdir -p "$copy/tree"
+  git ls-files -z | xargs -0 cp --parents -u -t "$copy/tree"
+  for f in $(git -C . ls-files src); do cmp -s "$f" "$copy/tree/$f" || cp "$f" "$copy/tree/$f"; done
+  perl -0pi -e "$change" "$copy/tree/$file"
+  if cmp -s "$file" "$copy/tree/$file"; then
+    echo "$name: the change does not apply"
+    survivors=1
+    continue
+  fi
+  cmake -S "$copy/tree" -B "$copy/build" -G Ninja > /dev/null
+  if ! cmake --build "$copy/build" --target "$test" > "$copy/$name.log" 2>&1; then
+    echo "$name: does not build"
+    survivors=1
+    continue
+  fi
+  program=$(find "$copy/build/src" -name "$test" -type f)
+  if RC_PARAMS=seed=20261204 timeout 300 "$program" --jobs 1 --filter "$filter" >> "$copy/$name.log" 2>&1; then
+    echo "$name: SURVIVED $test $filter"
+    survivors=1
+  else
+    echo "$name: caught by $test $filter"
+  fi
+done <<< "$mutants"
+exit $survivors
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -59,7 +59,12 @@
     message.body().size = 0;
     message.body().more = false;
     if (!parser.is_done()) {
-      if (block.empty()) block.resize(kBlockBytes);
+      if (block.empty()) {
+        block.resize(kBlockBytes);
+        // Reads are as large as the buffer has room, which starts out small.
+        const auto left = parser.content_length_remaining();
+        if (!left || *left > kBlockBytes / 4) from.buffer.reserve(kBlockBytes);
+      }
       message.body().data = block.data();
       message.body().size = block.size();
       from.stream.expires_after(progress);
@@ -76,6 +81,7 @@
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
   } while (!parser.is_done() || !serializer.is_done());
+  if (from.buffer.size() == 0) from.buffer.shrink_to_fit();
   co_return transfer_outcome::kWhole;
 }
 
