--- a/buildscripts/mutants.sh
+++ b/buildscripts/mutants.sh
@@ -1,14 +1,23 @@
 #!/usr/bin/env bash
-# Shows that proofs can fail: takes one mechanism out at a time in a copy of the tree, and expects the
-# named test to fail. Prints a line for each; exits 1 if a mutant survives.
+# Shows that proofs can fail: takes one mechanism out at a time in a copy of the last commit, and expects
+# the named test to fail. Prints a line for each; exits 1 if a mutant survives.
 #
 #   mutants.sh [NAME...]
 set -uo pipefail
 cd "$(dirname "$0")/.."
 copy=build/mutants
-mkdir -p "$copy"
+mkdir -p "$copy/base" "$copy/tree"
+git archive HEAD | tar -x -C "$copy/base"
 survivors=0
 
+# Makes the copy equal to the commit again; files that are equal keep their times and are not rebuilt.
+restore() {
+  local f
+  (cd "$copy/base" && find . -type f) | while read -r f; do
+    cmp -s "$copy/base/$f" "$copy/tree/$f" || { mkdir -p "$copy/tree/${f%/*}"; cp "$copy/base/$f" "$copy/tree/$f"; }
+  done
+}
+
 # name | file | perl substitution | test program | filter
 mutants=$(cat << 'TABLE'
 older-version|src/distribution/internal/document_board.cc|s/offered.version < slot.held->source.version/false/; s/offered.version < held.version/false/|document_board_test|*
@@ -41,11 +50,9 @@
 while IFS='|' read -r name file change test filter; do
   [ -z "$name" ] && continue
   if (($# > 0)) && [[ " $* " != *" $name "* ]]; then continue; fi
-  mkdir -p "$copy/tree"
-  git ls-files -z | xargs -0 cp --parents -u -t "$copy/tree"
-  for f in $(git -C . ls-files src); do cmp -s "$f" "$copy/tree/$f" || cp "$f" "$copy/tree/$f"; done
+  restore
   perl -0pi -e "$change" "$copy/tree/$file"
-  if cmp -s "$file" "$copy/tree/$file"; then
+  if cmp -s "$copy/base/$file" "$copy/tree/$file"; then
     echo "$name: the change does not apply"
     survivors=1
     continue
