Keep the paused daemon a member in the status test

Cause: in a fresh clone the test of a paused daemon failed once: the others took long enough for the paused one to be declared dead, and a dead member is not counted, so status rightly said everywhere. Ruled out: a fault of status; the bound and the check stay as they are. Change: the test's suspicion time outlasts the test, so its premise holds.

--- a/src/process_tests/tests/distribution_test.cc
+++ b/src/process_tests/tests/distribution_test.cc
@@ -116,7 +116,12 @@
 }
 
 Test(distribution, with_a_daemon_paused_is_not_said_to_be_everywhere) {
-  fleet subject({.subnet = 84, .regions = 2, .vms = 2, .targets = false});
+  // The paused daemon stays a member for the whole test: a dead one is not counted.
+  fleet subject({.subnet = 84,
+                 .regions = 2,
+                 .vms = 2,
+                 .daemon_extra = R"(, "distribution": {"suspicion_ms": 600000})",
+                 .targets = false});
   subject.Start();
   PutVersions(subject, 1);
   const std::string& paused = subject.Addresses().back();
