--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -72,6 +72,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) threads.emplace_back(work, i % 2 == 0);
   for (std::thread& each : threads) each.join();
   for (int i = 0; i < kIds; ++i) {
--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -2,10 +2,10 @@
 
 #include <sys/types.h>
 
+#include <boost/assert/source_location.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <source_location>
 #include <string>
 #include <vector>
 
@@ -139,7 +139,7 @@
 /// Fails the test, with its place, unless a condition holds. Unlike the test library's own checks
 /// it unwinds, so that the fleet's processes end with the test.
 void Expect(bool holds, const std::string& message = "",
-            std::source_location place = std::source_location::current());
+            boost::source_location place = BOOST_CURRENT_LOCATION);
 
 /// Sleeps between looks at a condition.
 void PauseBetweenLooks();
--- a/src/process_tests/internal/fleet.cc
+++ b/src/process_tests/internal/fleet.cc
@@ -51,7 +51,7 @@
 
 void FailTest(const std::string& message) { throw std::runtime_error(message); }
 
-void Expect(bool holds, const std::string& message, std::source_location place) {
+void Expect(bool holds, const std::string& message, boost::source_location place) {
   if (holds) return;
   FailTest(std::string(place.file_name()) + ":" + std::to_string(place.line()) + " " + message);
 }
@@ -97,6 +97,7 @@
 
 pid_t fleet::Spawn(const std::vector<std::string>& arguments, const std::string& log) {
   std::vector<char*> raw;
+  raw.reserve(arguments.size() + 1);
   for (const std::string& each : arguments) raw.push_back(const_cast<char*>(each.c_str()));
   raw.push_back(nullptr);
   posix_spawn_file_actions_t actions;
