--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -92,14 +92,6 @@
   }
 
  private:
-  struct activity {
-    explicit activity(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
-    ~activity() { --count; }
-    activity(const activity&) = delete;
-    activity& operator=(const activity&) = delete;
-    std::atomic<std::size_t>& count;
-  };
-
   asio::awaitable<void> Accept(asio::ip::tcp::acceptor& acceptor, entry_side side) {
     const auto self = shared_from_this();
     while (!draining_) {
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -116,15 +116,6 @@
     target_announcement announced;
   };
 
-  /// Counts a request as in progress.
-  struct activity {
-    explicit activity(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
-    ~activity() { --count; }
-    activity(const activity&) = delete;
-    activity& operator=(const activity&) = delete;
-    std::atomic<std::size_t>& count;
-  };
-
   asio::awaitable<void> Accept() {
     const auto self = shared_from_this();
     while (!closing_) {
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -167,6 +167,15 @@
   std::map<endpoint, std::vector<idle_connection>> idle_;
 };
 
+/// Counts a request as in progress for as long as it lives.
+struct activity {
+  explicit activity(std::atomic<std::size_t>& counter) : count(counter) { ++count; }
+  ~activity() { --count; }
+  activity(const activity&) = delete;
+  activity& operator=(const activity&) = delete;
+  std::atomic<std::size_t>& count;
+};
+
 /// Binds a listening socket.
 result<std::unique_ptr<asio::ip::tcp::acceptor>> Bind(asio::io_context& context,
                                                       const endpoint& where);
