--- a/buildscripts/fleet.sh
+++ b/buildscripts/fleet.sh
@@ -34,7 +34,7 @@
   local r
   for r in 1 2 3; do
     "$2/catkin_link" --port-offset $((10000 * r)) --port 9001,9002,9100 --delay-ms "$fleet_link_delay_ms" \
-      --control "127.0.0.1:920$r" 2> "$1/link$r.log" &
+      --control "127.0.0.1:920$r" > "$1/link$r.log" 2>&1 &
     echo $! > "$1/link$r.pid"
   done
 }
@@ -61,12 +61,12 @@
 }
 
 fleet_start_daemon() { # DIR BIN ADDRESS
-  "$2/catkinmoord" --settings "$1/$3.daemon.json" 2>> "$1/$3.daemon.log" &
+  "$2/catkinmoord" --settings "$1/$3.daemon.json" >> "$1/$3.daemon.log" 2>&1 &
   echo $! > "$1/$3.daemon.pid"
 }
 
 fleet_start_target() { # DIR BIN ADDRESS
-  "$2/catkin_target" --settings "$1/$3.target.json" 2>> "$1/$3.target.log" &
+  "$2/catkin_target" --settings "$1/$3.target.json" >> "$1/$3.target.log" 2>&1 &
   echo $! > "$1/$3.target.pid"
 }
 
@@ -77,7 +77,7 @@
   mkdir -p "$dir"
   fleet_hmac_value=$(fleet_hmac)
   fleet_addresses=()
-  "$bin/catkin_platform" --listen "$fleet_platform" 2> "$dir/platform.log" &
+  "$bin/catkin_platform" --listen "$fleet_platform" > "$dir/platform.log" 2>&1 &
   echo $! > "$dir/platform.pid"
   ((fleet_links)) && fleet_start_links "$dir" "$bin"
   for r in 1 2 3; do
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -27,6 +27,8 @@
   std::int64_t concurrency = 1;
   std::int64_t queue = 0;
   time_point deadline{};
+  /// Rank among waiting requests, 0 first; -1 follows the class.
+  std::int64_t priority = -1;
 };
 
 /// What to do with a request now.
@@ -76,13 +78,16 @@
   std::uint32_t Slots() const { return slots_; }
   std::uint32_t Queued() const;
 
+  /// Mean time that the target took for a request lately, in milliseconds.
+  double MeanServiceMs() const { return mean_service_ms_; }
+
  private:
   static constexpr std::size_t kClasses = 4;
 
   bool CanRun(const admission_request& request) const;
   void Start(const admission_request& request);
   bool IsTooLate(const admission_request& request, time_point now) const;
-  double ExpectedWaitMs(route_class kind) const;
+  double ExpectedWaitMs(const admission_request& request) const;
 
   std::uint32_t slots_ = 0;
   std::uint32_t in_use_ = 0;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -7,7 +7,12 @@
 
 constexpr double kServiceTimeWeight = 0.1;
 
-std::size_t Rank(route_class kind) { return static_cast<std::size_t>(kind); }
+constexpr std::size_t kRanks = 4;
+
+std::size_t Rank(const admission_request& request) {
+  if (request.priority < 0) return static_cast<std::size_t>(request.kind);
+  return std::min(static_cast<std::size_t>(request.priority), kRanks - 1);
+}
 
 }  // namespace
 
@@ -51,9 +56,9 @@
   ++running_by_route_[request.route];
 }
 
-double admission_queue::ExpectedWaitMs(route_class kind) const {
+double admission_queue::ExpectedWaitMs(const admission_request& request) const {
   std::size_t ahead = 0;
-  for (std::size_t rank = 0; rank <= Rank(kind); ++rank) ahead += waiting_[rank].size();
+  for (std::size_t rank = 0; rank <= Rank(request); ++rank) ahead += waiting_[rank].size();
   return mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
 }
 
@@ -70,7 +75,7 @@
   if (slots_ == 0) return {admission::kRefuse, refusal::kNoTarget};
   if (request.deadline <= now) return {admission::kRefuse, refusal::kTooLate};
   const bool line_is_empty =
-      std::all_of(waiting_.begin(), waiting_.begin() + Rank(request.kind) + 1,
+      std::all_of(waiting_.begin(), waiting_.begin() + Rank(request) + 1,
                   [](const auto& line) { return line.empty(); });
   if (line_is_empty && CanRun(request)) {
     Start(request);
@@ -81,10 +86,10 @@
   }
   const double left_ms = std::chrono::duration<double, std::milli>(request.deadline - now).count();
   const bool sheds = request.kind != route_class::kBooking;
-  if (sheds && ExpectedWaitMs(request.kind) + mean_service_ms_ > left_ms) {
+  if (sheds && ExpectedWaitMs(request) + mean_service_ms_ > left_ms) {
     return {admission::kRefuse, refusal::kTooLate};
   }
-  waiting_[Rank(request.kind)].push_back(request);
+  waiting_[Rank(request)].push_back(request);
   ++waiting_by_route_[request.route];
   return {admission::kWait, refusal::kNone};
 }
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -23,6 +23,8 @@
   std::int64_t control_port = 9002;
   std::int64_t administration_port = 9003;
   std::int64_t local_port = 9004;
+  std::int64_t readiness_port = 0;
+  std::string readiness_path = "/readyz";
   std::string platform;
   milliseconds platform_timeout{2'000};
   std::vector<std::string> seed_peers;
@@ -30,6 +32,7 @@
   milliseconds target_lease{3'000};
   milliseconds drain_notice{1'000};
   milliseconds drain_timeout{30'000};
+  milliseconds reload_check{0};
   std::string token_key;
   std::vector<team_entry> teams;
   std::vector<translation_rule> links;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -26,6 +26,7 @@
 #include "proxy/entry_proxy.h"
 #include "proxy/gate_proxy.h"
 #include "store/http_platform_client.h"
+#include "store/repository_source.h"
 
 namespace catkinmoor {
 namespace {
@@ -90,17 +91,18 @@
 
 class catkinmoor_daemon::impl : public peer_service {
  public:
-  explicit impl(daemon_settings settings)
+  impl(daemon_settings settings, daemon_edges edges)
       : settings_(std::move(settings)),
+        edges_(std::move(edges)),
         translation_(settings_.links),
         self_(FirstRecord(settings_)),
         strategy_(MakeSpreadStrategy(settings_.distribution.strategy, seed_())),
-        platform_(MakeHttpPlatformClient(http_client_, Value(ParseEndpoint(settings_.platform)),
-                                         settings_.platform_timeout)),
+        platform_(MakePlatform()),
         repository_(*platform_),
+        documents_source_(MakeSource()),
         exchange_(control_, board_, peers_, *strategy_, settings_.distribution),
         membership_(control_, board_, peers_, exchange_, settings_.distribution, seed_()),
-        source_(control_, board_, repository_, exchange_, *strategy_, settings_.distribution,
+        source_(control_, board_, *documents_source_, exchange_, *strategy_, settings_.distribution,
                 seed_()),
         join_(control_, board_, *platform_, peers_, exchange_, source_, settings_.distribution,
               Seeds(settings_), seed_()),
@@ -115,28 +117,39 @@
                },
                [this](const std::string& fingerprint) {
                  asio::post(control_, [=, this] { StateCleared(fingerprint); });
+               },
+               [this](const std::string& instance) {
+                 asio::post(control_, [=, this] { target_.NoteUnreachable(instance); });
                }},
               settings_.proxy),
         target_(control_, self_, exchange_, gate_, settings_.target_lease),
         teams_(settings_.token_key, settings_.teams),
         administration_({board_, repository_, exchange_, status_, teams_,
-                         [this] { return join_.Ready() && !stopping_; }, [this] { BeginStop(); },
+                         [this] { return Ready(); }, [this] { BeginStop(); },
                          [this] { RefreshMetrics(); }}),
         administration_server_(
             control_, {.body_bytes = kAdministrationBodyBytes},
             [this](http::request message) { return administration_.Answer(std::move(message)); }),
         local_server_(control_, {},
-                      [this](http::request message) { return target_.Answer(std::move(message)); }),
+                      [this](http::request message) { return Register(std::move(message)); }),
+        readiness_server_(
+            control_, {}, [this](http::request message) { return Readiness(std::move(message)); }),
         peer_server_(control_, *this),
-        signals_(control_, SIGTERM, SIGINT) {}
+        signals_(control_, SIGTERM, SIGINT),
+        reload_signal_(control_, SIGHUP) {}
 
   result<done> Run() {
     for (const auto& bound : ListenAll()) {
       if (!Ok(bound)) return Failure(bound);
     }
+    logging::Info("started", {{"vm", settings_.vm}, {"address", settings_.address}});
     signals_.async_wait([this](const boost::system::error_code& failed, int) {
       if (!failed) BeginStop();
     });
+    AwaitReload();
+    if (settings_.reload_check.count() > 0) {
+      asio::co_spawn(control_, CheckForReload(), asio::detached);
+    }
     asio::co_spawn(control_, Start(), asio::detached);
     control_.run();
     if (stopper_.joinable()) stopper_.join();
@@ -168,12 +181,93 @@
     const auto at = [&](std::int64_t port) {
       return endpoint{settings_.address, static_cast<std::uint16_t>(port)};
     };
-    return {entry_.Listen(at(settings_.entry_port), entry_side::kCallers),
-            entry_.Listen(at(settings_.exit_port), entry_side::kTarget),
-            gate_.Listen(at(settings_.gate_port)),
-            administration_server_.Listen(at(settings_.administration_port)),
-            local_server_.Listen(at(settings_.local_port)),
-            peer_server_.Listen(at(settings_.control_port))};
+    std::vector<result<done>> bound = {
+        entry_.Listen(at(settings_.entry_port), entry_side::kCallers),
+        gate_.Listen(at(settings_.gate_port)),
+        administration_server_.Listen(at(settings_.administration_port)),
+        local_server_.Listen(at(settings_.local_port)),
+        peer_server_.Listen(at(settings_.control_port))};
+    if (settings_.exit_port != 0) {
+      bound.push_back(entry_.Listen(at(settings_.exit_port), entry_side::kTarget));
+    }
+    if (settings_.readiness_port != 0) {
+      bound.push_back(readiness_server_.Listen(at(settings_.readiness_port)));
+    }
+    return bound;
+  }
+
+  std::unique_ptr<platform_client> MakePlatform() {
+    if (edges_.make_platform) return edges_.make_platform(http_client_);
+    return MakeHttpPlatformClient(http_client_, Value(ParseEndpoint(settings_.platform)),
+                                  settings_.platform_timeout);
+  }
+
+  std::unique_ptr<document_source> MakeSource() {
+    if (edges_.make_source) return edges_.make_source(http_client_);
+    return std::make_unique<repository_source>(repository_);
+  }
+
+  asio::awaitable<http::reply> Register(http::request message) {
+    if (edges_.answer_registration) return edges_.answer_registration(target_, std::move(message));
+    return target_.Answer(std::move(message));
+  }
+
+  /// Whether requests can be served: joined, not stopping, and with a configuration where one
+  /// document holds them all.
+  bool Ready() const {
+    const std::string& mesh = settings_.proxy.mesh_document;
+    const bool configured = mesh.empty() || documents_.InForce(mesh) != nullptr;
+    return join_.Ready() && configured && !stopping_;
+  }
+
+  asio::awaitable<http::reply> Readiness(http::request message) {
+    if (message.Path() != settings_.readiness_path) co_return http::reply{404, {}, ""};
+    co_return http::reply{Ready() ? 200U : 503U, {}, ""};
+  }
+
+  void AwaitReload() {
+    reload_signal_.async_wait([this](const boost::system::error_code& failed, int) {
+      if (failed) return;
+      Reload("signal");
+      AwaitReload();
+    });
+  }
+
+  /// Looks for settings that changed without a signal.
+  asio::awaitable<void> CheckForReload() {
+    while (!stopping_) {
+      reload_timer_.expires_after(settings_.reload_check);
+      co_await reload_timer_.async_wait(kAwait);
+      if (!stopping_) Reload("check");
+    }
+  }
+
+  /// Reads the settings again and takes over what can change while the daemon runs.
+  void Reload(const char* cause) {
+    if (!edges_.read_settings) {
+      logging::Info("reload", {{"cause", cause}, {"outcome", "no settings to read"}});
+      return;
+    }
+    auto read = edges_.read_settings();
+    if (const auto* problems = std::get_if<json::problems>(&read)) {
+      logging::Warning("reload", {{"cause", cause},
+                                  {"outcome", "refused, the present settings hold"},
+                                  {"problems", json::Describe(*problems)}});
+      return;
+    }
+    const auto& fresh = std::get<daemon_settings>(read);
+    const bool checked = std::string_view(cause) == "check";
+    const bool changed = PrintDaemonSettings(fresh) != PrintDaemonSettings(settings_);
+    if (!changed && checked) return;
+    join_.SetSeeds(Seeds(fresh));
+    settings_.seed_peers = fresh.seed_peers;
+    settings_.drain_notice = fresh.drain_notice;
+    settings_.drain_timeout = fresh.drain_timeout;
+    const bool whole = PrintDaemonSettings(fresh) == PrintDaemonSettings(settings_);
+    logging::Info("reload", {{"cause", cause},
+                             {"outcome", !changed ? "unchanged"
+                                         : whole  ? "taken over"
+                                                  : "taken over in part, the rest at a restart"}});
   }
 
   asio::awaitable<void> Start() {
@@ -184,6 +278,26 @@
     asio::co_spawn(control_, source_.Run(), asio::detached);
     asio::co_spawn(control_, join_.KeepMeetingPoint(), asio::detached);
     asio::co_spawn(control_, Housekeep(), asio::detached);
+    if (settings_.distribution.witness_wait.count() > 0) {
+      asio::co_spawn(control_, EndWitnessWaits(), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> EndWitnessWaits() {
+    while (!stopping_) {
+      witness_timer_.expires_after(settings_.distribution.witness_wait);
+      co_await witness_timer_.async_wait(kAwait);
+      documents_.WitnessOlderThan(settings_.distribution.witness_wait, Now());
+      budget_.SetDaemons(PresentMembers());
+    }
+  }
+
+  std::size_t PresentMembers() const {
+    std::size_t present = 0;
+    for (const auto& [data_centre, members] : members_.View()->data_centres) {
+      present += members.size();
+    }
+    return present;
   }
 
   /// Gives back what is no longer used. Joining alone opens a connection to every neighbour.
@@ -237,6 +351,9 @@
     exchange_.StateSelf();
     timer.expires_after(kFarewell);
     co_await timer.async_wait(kAwait);
+    reload_signal_.cancel();
+    witness_timer_.cancel();
+    reload_timer_.cancel();
     membership_.Stop();
     source_.Stop();
     join_.Stop();
@@ -244,6 +361,7 @@
     housekeeping_.cancel();
     administration_server_.Stop();
     local_server_.Stop();
+    readiness_server_.Stop();
     // The server waits for its calls, which this thread would have to finish.
     stopper_ = std::thread([this] {
       peer_server_.Stop();
@@ -268,6 +386,7 @@
   }
 
   daemon_settings settings_;
+  daemon_edges edges_;
   address_translation translation_;
   std::random_device seed_;
   asio::io_context control_{1};
@@ -285,6 +404,7 @@
   http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
   document_repository repository_;
+  std::unique_ptr<document_source> documents_source_;
   grpc_peer_client peers_{translation_};
   record_exchange exchange_;
   membership_controller membership_;
@@ -299,15 +419,19 @@
   administration_service administration_;
   http::server administration_server_;
   http::server local_server_;
+  http::server readiness_server_;
   grpc_peer_server peer_server_;
   asio::signal_set signals_;
+  asio::signal_set reload_signal_;
+  asio::steady_timer witness_timer_{control_};
+  asio::steady_timer reload_timer_{control_};
   asio::steady_timer housekeeping_{control_};
   std::thread stopper_;
   std::atomic<bool> stopping_ = false;
 };
 
-catkinmoor_daemon::catkinmoor_daemon(daemon_settings settings)
-    : impl_(std::make_unique<impl>(std::move(settings))) {}
+catkinmoor_daemon::catkinmoor_daemon(daemon_settings settings, daemon_edges edges)
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(edges))) {}
 
 catkinmoor_daemon::~catkinmoor_daemon() = default;
 
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -29,7 +29,7 @@
 }};
 
 using ds = distribution_settings;
-const std::array<field<ds>, 8> kDistributionFields = {{
+const std::array<field<ds>, 11> kDistributionFields = {{
     {"strategy", &ds::strategy, "How news is carried: tree, gossip or poll."},
     {"probe_interval_ms", &ds::probe_interval, "Time between probes of a neighbour.", false, 50,
      kHourMs},
@@ -38,6 +38,14 @@
      false, 100, kHourMs},
     {"source_poll_ms", &ds::source_poll, "Time between looks at the source by a reader.", false, 50,
      kHourMs},
+    {"source_wait_ms", &ds::source_wait,
+     "Time for which a source that can do so holds a read back until there is news.", false, 0,
+     kHourMs},
+    {"witness_wait_ms", &ds::witness_wait,
+     "Time after which a version comes in force without a witness; 0 waits for one.", false, 0,
+     kHourMs},
+    {"source_is_current", &ds::source_is_current,
+     "Whether a read of the source alone tells every version that ever was in force."},
     {"spread_timeout_ms", &ds::spread_timeout, "Time a peer has to take news.", false, 10, kHourMs},
     {"meeting_refresh_ms", &ds::meeting_refresh, "Time between refreshes of a meeting row.", false,
      100, kHourMs},
@@ -46,7 +54,7 @@
 }};
 
 using ps = proxy_settings;
-const std::array<field<ps>, 11> kProxyFields = {{
+const std::array<field<ps>, 13> kProxyFields = {{
     {"header_bytes", &ps::header_bytes, "Largest request header, in bytes.", false, 256, 1 << 20},
     {"body_bytes", &ps::body_bytes, "Largest request body, in bytes.", false, 0, kMostBytes},
     {"replay_bytes", &ps::replay_bytes, "Largest body kept so that it can be sent twice, in bytes.",
@@ -64,6 +72,10 @@
      "Time without an answer after which the gate is asked about the request.", false, 50, kHourMs},
     {"pool_idle", &ps::pool_idle, "Idle connections kept for each peer and worker.", false, 0,
      10'000},
+    {"mesh_document", &ps::mesh_document,
+     "Document that holds the routes of every host; empty when each service has its own."},
+    {"own_service", &ps::own_service,
+     "Service of the vm's own target, told to the targets that its requests reach."},
     {"max_depth", &ps::max_depth, "How deeply calls may be nested.", false, 1, 64},
 }};
 
@@ -103,13 +115,14 @@
 }
 
 using s = daemon_settings;
-const std::array<field<s>, 23> kFields = {{
+const std::array<field<s>, 26> kFields = {{
     {"vm", &s::vm, "Name of the vm, unique in the fleet.", true, 1},
     {"region", &s::region, "Region of the vm.", true, 1},
     {"data_centre", &s::data_centre, "Data centre of the vm.", true, 1},
     {"address", &s::address, "IP number on which the daemon listens.", true, 1},
     {"entry_port", &s::entry_port, "Port for callers.", false, kLeastPort, kMostPort},
-    {"exit_port", &s::exit_port, "Port for the target's own calls.", false, kLeastPort, kMostPort},
+    {"exit_port", &s::exit_port,
+     "Port for the target's own calls; 0 when they come to the entry's.", false, 0, kMostPort},
     {"gate_port", &s::gate_port, "Port for other daemons' requests.", false, kLeastPort, kMostPort},
     {"control_port", &s::control_port, "Port for other daemons' messages.", false, kLeastPort,
      kMostPort},
@@ -117,6 +130,9 @@
      kMostPort},
     {"local_port", &s::local_port, "Port on which the target announces itself.", false, kLeastPort,
      kMostPort},
+    {"readiness_port", &s::readiness_port,
+     "Port on which only readiness is told; 0 for none.", false, 0, kMostPort},
+    {"readiness_path", &s::readiness_path, "Path of readiness on that port.", false, 1},
     {"platform", &s::platform, "The platform's table and object store, as address:port.", true, 1},
     {"platform_timeout_ms", &s::platform_timeout, "Time the platform has to answer.", false, 10,
      kHourMs},
@@ -128,6 +144,9 @@
      kHourMs},
     {"drain_timeout_ms", &s::drain_timeout, "Time running requests have to end.", false, 0,
      kHourMs},
+    {"reload_check_ms", &s::reload_check,
+     "Time between looks whether the settings changed without a signal; 0 for none.", false, 0,
+     kHourMs},
     {"token_key", &s::token_key, "Key of the tokens' HMACs."},
     {"teams", custom_member<s>{ReadTeams, WriteTeams}, "Teams and the hashes of their tokens."},
     {"links", custom_member<s>{ReadLinks, WriteLinks},
--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -16,6 +16,8 @@
 using json::field;
 
 constexpr double kMostSlots = 100'000;
+// Departed instances that are remembered, so that a report that was held up does not revive one.
+constexpr std::size_t kDeparted = 64;
 
 /// The form in which a target announces itself.
 struct announcement_form {
@@ -82,22 +84,69 @@
   if (const auto* problems = std::get_if<json::problems>(&parsed)) {
     co_return Json(422, {{"error", json::Describe(*problems)}});
   }
-  if (withdrawn_) {
+  auto& [where, target] = std::get<std::pair<endpoint, target_announcement>>(parsed);
+  const report_outcome outcome = Announce({where, std::move(target), 0, 0});
+  if (outcome == report_outcome::kWithdrawn) {
     co_return Json(503, {{"error", "the daemon is stopping"}, {"active", gate_.Active()}});
   }
-  auto& [where, target] = std::get<std::pair<endpoint, target_announcement>>(parsed);
-  SetTarget(where, std::move(target));
-  Renew();
   co_return Json(200, {{"lease_ms", lease_.count()}, {"active", gate_.Active()}});
 }
 
+bool target_registration::IsOutdated(const target_report& report) const {
+  const std::string& instance = report.target.instance;
+  for (const auto& [gone, born_ms] : departed_) {
+    if (gone == instance && report.born_ms <= born_ms) return true;
+  }
+  if (!last_) return false;
+  if (report.born_ms != 0 && last_->born_ms != 0 && report.born_ms != last_->born_ms) {
+    return report.born_ms < last_->born_ms;
+  }
+  return instance == last_->target.instance && report.sequence < last_->sequence;
+}
+
+report_outcome target_registration::Announce(const target_report& report) {
+  if (withdrawn_) return report_outcome::kWithdrawn;
+  if (IsOutdated(report)) {
+    logging::Info("target report outdated",
+                  {{"instance", report.target.instance},
+                   {"sequence", static_cast<std::int64_t>(report.sequence)}});
+    return report_outcome::kOutdated;
+  }
+  const bool follows = last_ && last_->target.instance != report.target.instance;
+  if (follows) Remember(last_->target.instance, last_->born_ms);
+  last_ = report;
+  SetTarget(report.where, report.target);
+  Renew();
+  return report_outcome::kTaken;
+}
+
+void target_registration::Remember(const std::string& instance, std::uint64_t born_ms) {
+  departed_.emplace_back(instance, born_ms);
+  if (departed_.size() > kDeparted) departed_.pop_front();
+}
+
+void target_registration::Depart(const std::string& instance) {
+  const bool known = last_ && last_->target.instance == instance;
+  Remember(instance, known ? last_->born_ms : 0);
+  if (!present_ || present_->instance != instance) return;
+  logging::Info("target departed", {{"instance", instance}});
+  ForgetTarget("departed");
+}
+
+void target_registration::NoteUnreachable(const std::string& instance) {
+  if (!present_ || present_->instance != instance || withdrawn_) return;
+  ForgetTarget("unreachable");
+}
+
 void target_registration::SetTarget(const endpoint& where, target_announcement target) {
   const bool became_ready =
       target.state == target_state::kReady && (!present_ || present_->instance != target.instance ||
                                                present_->state != target_state::kReady);
   target.ready_at_ms = became_ready ? WallMilliseconds() : present_ ? present_->ready_at_ms : 0;
   if (present_ == target && where_ == where) return;
-  logging::Info("target", {{"service", target.service}, {"state", StateName(target.state)}});
+  logging::Info("target", {{"service", target.service},
+                           {"instance", target.instance},
+                           {"state", StateName(target.state)}});
   present_ = target;
   where_ = where;
   gate_.SetTarget(where, target);
@@ -109,13 +158,13 @@
   timer_.expires_after(lease_);
   timer_.async_wait([this](const boost::system::error_code& failed) {
     if (failed) return;
-    logging::Warning("target lost", {{"step", "lease"}});
-    ForgetTarget();
+    ForgetTarget("silent");
   });
 }
 
-void target_registration::ForgetTarget() {
+void target_registration::ForgetTarget(const char* reason) {
   if (!present_) return;
+  logging::Warning("target lost", {{"step", reason}, {"instance", present_->instance}});
   present_.reset();
   gate_.RemoveTarget();
   self_.Update([](member_record& record) { record.target.reset(); });
--- a/src/daemon/target_registration.h
+++ b/src/daemon/target_registration.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,8 +14,28 @@
 
 namespace catkinmoor {
 
+/// What a target says of itself at one moment. The instance differs for every start; where a start
+/// may keep the instance of an earlier one, the time of the start tells them apart.
+struct target_report {
+  endpoint where;
+  target_announcement target;
+  /// Unix milliseconds of the target's start, 0 when it does not say.
+  std::uint64_t born_ms = 0;
+  /// Rises with every report of one start, 0 when it does not say.
+  std::uint64_t sequence = 0;
+
+  friend bool operator==(const target_report&, const target_report&) = default;
+};
+
+/// What became of a report.
+enum class report_outcome {
+  kTaken,      ///< It holds now.
+  kOutdated,   ///< A later report, or a later start, is known already.
+  kWithdrawn,  ///< The daemon is stopping and takes no target.
+};
+
 /// Takes the announcements of the vm's own target. The target renews its lease; one that falls
-/// silent, or says that it leaves, gets no new work.
+/// silent, or says that it leaves, gets no new work. Reports may arrive late and out of order.
 class target_registration {
  public:
   target_registration(boost::asio::io_context& context, self_record& self,
@@ -23,14 +44,27 @@
   /// Answers the target's interface: announce, leave.
   boost::asio::awaitable<http::reply> Answer(http::request message);
 
+  /// Takes one report. A target that leaves gets no new work from the moment this returns.
+  report_outcome Announce(const target_report& report);
+
+  /// Notes that an instance has said good-bye; nothing it says later brings it back.
+  void Depart(const std::string& instance);
+
+  /// Notes that nothing listens where an instance should; its next report brings it back.
+  void NoteUnreachable(const std::string& instance);
+
   /// Withdraws the target for a planned stop of the daemon. Later announcements are refused.
   void Withdraw();
   void Stop();
 
  private:
+  /// Whether a report is older than what is known.
+  bool IsOutdated(const target_report& report) const;
+
+  void Remember(const std::string& instance, std::uint64_t born_ms);
   void Renew();
   void SetTarget(const endpoint& where, target_announcement target);
-  void ForgetTarget();
+  void ForgetTarget(const char* reason);
 
   self_record& self_;
   record_exchange& exchange_;
@@ -39,6 +73,10 @@
   boost::asio::steady_timer timer_;
   std::optional<target_announcement> present_;
   endpoint where_;
+  /// The newest report, kept when its target is forgotten.
+  std::optional<target_report> last_;
+  /// Instances that said good-bye or were followed by another, newest last.
+  std::deque<std::pair<std::string, std::uint64_t>> departed_;
   bool withdrawn_ = false;
 };
 
--- a/src/distribution/distribution_settings.h
+++ b/src/distribution/distribution_settings.h
@@ -13,6 +13,11 @@
   milliseconds probe_timeout{500};
   milliseconds suspicion{2'000};
   milliseconds source_poll{1'000};
+  milliseconds source_wait{0};
+  /// Time after which a version comes in force without a witness; 0 waits for one.
+  milliseconds witness_wait{0};
+  /// Whether a read of the source alone tells all versions that ever were in force.
+  bool source_is_current = false;
   milliseconds spread_timeout{1'000};
   milliseconds meeting_refresh{30'000};
   milliseconds member_batch{20};
--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -49,6 +49,9 @@
   /// Puts every held version in force, for a daemon that has no peer in its data centre.
   void WitnessAll();
 
+  /// Puts versions in force that have been held for a time without a witness.
+  void WitnessOlderThan(milliseconds age, time_point now);
+
   /// Held versions that still lack a witness.
   std::vector<active_document_ptr> Unwitnessed() const;
 
@@ -80,6 +83,7 @@
   struct entry {
     active_document_ptr held;
     active_document_ptr in_force;
+    time_point held_since{};
     std::uint64_t in_force_since_ms = 0;
     std::optional<refused_version> refused;
   };
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -39,8 +39,9 @@
   if (content.service != offered.service) {
     return Refuse(offered, "the text names service " + content.service);
   }
-  auto active =
-      std::make_shared<const active_document>(active_document{offered, std::move(content)});
+  host_index by_host = IndexHosts(content);
+  auto active = std::make_shared<const active_document>(
+      active_document{offered, std::move(content), std::move(by_host)});
   {
     const std::unique_lock<std::shared_mutex> lock(owner.mutex);
     entry& slot = owner.entries[offered.service];
@@ -53,6 +54,7 @@
       owner.hash ^= VersionHash(offered);
       owner.last_change = std::max(owner.last_change, offered.change);
       slot.held = std::move(active);
+      slot.held_since = Now();
       slot.refused.reset();
       if (witnessed) PutInForce(slot);
       return offer_outcome::kNews;
@@ -96,6 +98,15 @@
   }
 }
 
+void document_board::WitnessOlderThan(milliseconds age, time_point now) {
+  for (shard& owner : shards_) {
+    const std::unique_lock<std::shared_mutex> lock(owner.mutex);
+    for (auto& [service, slot] : owner.entries) {
+      if (slot.held != nullptr && now - slot.held_since >= age) PutInForce(slot);
+    }
+  }
+}
+
 std::vector<active_document_ptr> document_board::Unwitnessed() const {
   std::vector<active_document_ptr> waiting;
   for (const shard& owner : shards_) {
--- a/src/distribution/internal/join_controller.cc
+++ b/src/distribution/internal/join_controller.cc
@@ -162,16 +162,20 @@
 
 asio::awaitable<bool> join_controller::LearnFloor(bool table_answered) {
   const member_record self = board_.self.Get();
-  const auto neighbours = Successors(*board_.members.View(), self.data_centre, self.vm, SIZE_MAX);
-  const std::size_t in_step = co_await CountNeighboursInStep(neighbours);
   bool source_read = false;
   if (table_answered) {
     const auto caught_up = co_await source_.CatchUp();
     source_read = Ok(caught_up);
   }
+  const auto neighbours = Successors(*board_.members.View(), self.data_centre, self.vm, SIZE_MAX);
+  std::size_t in_step = 0;
+  if (!source_read || !settings_.source_is_current) {
+    in_step = co_await CountNeighboursInStep(neighbours);
+  }
   const bool all_neighbours = !neighbours.empty() && in_step == neighbours.size();
   const bool most_neighbours = in_step * 2 >= neighbours.size();
-  if (!all_neighbours && !(source_read && most_neighbours)) co_return false;
+  const bool source_suffices = source_read && (most_neighbours || settings_.source_is_current);
+  if (!all_neighbours && !source_suffices) co_return false;
   // Whoever was asked holds these versions too, or this daemon is alone with the source.
   board_.documents.WitnessAll();
   co_return true;
--- a/src/distribution/internal/membership_controller.cc
+++ b/src/distribution/internal/membership_controller.cc
@@ -53,7 +53,7 @@
     asio::co_spawn(context_, ProbeOnce(), asio::detached);
     asio::co_spawn(context_, CompareWithFinger(), asio::detached);
     asio::co_spawn(context_, CompareWithOtherPlace(), asio::detached);
-    co_await exchange_.SeekWitness();
+    asio::co_spawn(context_, exchange_.SeekWitness(), asio::detached);
     std::vector<detector_verdict> verdicts;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/distribution/join_controller.h
+++ b/src/distribution/join_controller.h
@@ -32,6 +32,9 @@
   boost::asio::awaitable<void> KeepMeetingPoint();
   void Stop();
 
+  /// Replaces the addresses to join through. Called on the controller's thread.
+  void SetSeeds(std::vector<endpoint> seeds) { seeds_ = std::move(seeds); }
+
   /// Whether the daemon has learnt enough to serve.
   bool Ready() const { return ready_; }
 
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "framework/base/clock.h"
@@ -22,7 +23,12 @@
 enum class caller_scope { kAny, kInternal };
 
 /// How far from the caller targets are looked for.
-enum class locality { kNearest, kRegion, kAny };
+enum class locality {
+  kNearest,   ///< The nearest place that has a target.
+  kRegion,    ///< The caller's region only.
+  kAny,       ///< Everywhere alike.
+  kBalanced,  ///< Wherever an answer is expected soonest, by distance and load.
+};
 
 /// Which requests a route takes. Empty members match everything.
 struct route_match {
@@ -30,14 +36,17 @@
   std::string prefix;
   std::string exact;
   label_map headers;
+  std::vector<std::string> hosts;
 
   friend bool operator==(const route_match&, const route_match&) = default;
 };
 
-/// A share of a route's requests that goes to targets with certain labels.
+/// A share of a route's requests that goes to targets of a service with certain labels. An empty
+/// service is the document's own.
 struct route_split {
   label_map labels;
   std::int64_t weight = 1;
+  std::string service;
 
   friend bool operator==(const route_split&, const route_split&) = default;
 };
@@ -49,6 +58,10 @@
   route_class kind = route_class::kBrowse;
   bool repeatable = false;
   milliseconds deadline{2'000};
+  /// Time within which an answer serves the caller fully; 0 when the document does not say.
+  milliseconds target_latency{0};
+  /// Rank of admission under load, 0 first; -1 follows the class.
+  std::int64_t priority = -1;
   std::int64_t attempts = 1;
   std::int64_t concurrency = 1'000;
   std::int64_t queue = 100;
@@ -72,6 +85,8 @@
 struct retry_budget_settings {
   double ratio = 0.2;
   double least_per_second = 1;
+  /// Retries that the whole fleet may save up together; negative when each daemon saves on its own.
+  double fleet_burst = -1;
 
   friend bool operator==(const retry_budget_settings&, const retry_budget_settings&) = default;
 };
@@ -88,11 +103,14 @@
   friend bool operator==(const document&, const document&) = default;
 };
 
+/// The routes of a document that take a host, in the document's order.
+using host_index = std::unordered_map<std::string, std::vector<std::size_t>>;
+
 /// The newest schema that this release understands.
 inline constexpr std::int64_t kDocumentSchema = 1;
 
-/// The largest document text.
-inline constexpr std::size_t kDocumentBytes = 256U << 10U;
+/// The largest document text. A document that holds the routes of a whole mesh needs most of it.
+inline constexpr std::size_t kDocumentBytes = 1U << 20U;
 
 /// Parses and checks a whole document. All faults are reported in one pass, each with its place.
 std::variant<document, json::problems> ParseDocument(std::string_view text);
@@ -103,6 +121,10 @@
 /// The name of a class as it stands in documents.
 std::string_view ClassName(route_class kind);
 
+/// A document as text that ParseDocument reads back as an equal value. Equal documents have equal
+/// texts.
+std::string PrintDocument(const document& content);
+
 /// A document text as accepted by the store.
 struct document_version {
   std::string service;
@@ -127,10 +149,14 @@
 struct active_document {
   document_version source;
   document content;
+  host_index by_host;
 
   friend bool operator==(const active_document&, const active_document&) = default;
 };
 
+/// Puts the routes that name hosts under them, without regard to case.
+host_index IndexHosts(const document& content);
+
 using active_document_ptr = std::shared_ptr<const active_document>;
 
 }  // namespace catkinmoor
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
 #include <set>
 
 #include "framework/json/field_table.h"
@@ -18,10 +19,12 @@
 using json::Report;
 
 constexpr std::size_t kServiceNameLength = 63;
-constexpr std::size_t kRoutes = 256;
+constexpr std::size_t kRoutes = 4'096;
 constexpr double kDeadlineMilliseconds = 600'000;
 constexpr double kAttempts = 5;
 constexpr double kPerTarget = 100'000;
+constexpr double kLowestPriority = 1'000;
+constexpr double kMostSavedRetries = 1'000'000;
 
 /// One permitted word of an enumeration.
 template <typename Enum>
@@ -36,8 +39,10 @@
                                                         {"download", route_class::kDownload}}};
 constexpr std::array<word<caller_scope>, 2> kCallers = {
     {{"any", caller_scope::kAny}, {"internal", caller_scope::kInternal}}};
-constexpr std::array<word<locality>, 3> kLocalities = {
-    {{"nearest", locality::kNearest}, {"region", locality::kRegion}, {"any", locality::kAny}}};
+constexpr std::array<word<locality>, 4> kLocalities = {{{"nearest", locality::kNearest},
+                                                        {"region", locality::kRegion},
+                                                        {"any", locality::kAny},
+                                                        {"balanced", locality::kBalanced}}};
 
 template <typename Enum, std::size_t kCount>
 void ReadWord(const bj::value& from, const std::string& place,
@@ -60,15 +65,17 @@
       ->name;
 }
 
-const std::array<field<route_match>, 4> kMatchFields = {{
+const std::array<field<route_match>, 5> kMatchFields = {{
+    {"hosts", &route_match::hosts, "Hosts that match; all when absent."},
     {"methods", &route_match::methods, "Methods that match; all when absent."},
     {"prefix", &route_match::prefix, "Path prefix that matches."},
     {"exact", &route_match::exact, "Whole path that matches."},
     {"headers", &route_match::headers, "Header values that must all be present."},
 }};
 
-const std::array<field<route_split>, 2> kSplitFields = {{
-    {"labels", &route_split::labels, "Labels of the targets that get this share.", true},
+const std::array<field<route_split>, 3> kSplitFields = {{
+    {"service", &route_split::service, "Service that gets this share; the document's when absent."},
+    {"labels", &route_split::labels, "Labels of the targets that get this share."},
     {"weight", &route_split::weight, "Share relative to the other splits.", true, 0, 1'000'000},
 }};
 
@@ -76,7 +83,7 @@
   json::ReadObject<route_match>(from, place, kMatchFields, to.match, found);
 }
 bj::value WriteMatch(const route& from) {
-  return json::WriteObject<route_match>(from.match, kMatchFields);
+  return json::WriteChanged<route_match>(from.match, kMatchFields);
 }
 void ReadClass(const bj::value& from, const std::string& place, route& to, problems& found) {
   ReadWord(from, place, kClasses, to.kind, found);
@@ -96,16 +103,20 @@
   json::ReadItems<route_split>(from, place, kSplitFields, to.splits, found);
 }
 bj::value WriteSplits(const route& from) {
-  return json::WriteItems<route_split>(from.splits, kSplitFields);
+  return json::WriteChangedItems<route_split>(from.splits, kSplitFields);
 }
 
-const std::array<field<route>, 11> kRouteFields = {{
+const std::array<field<route>, 13> kRouteFields = {{
     {"name", &route::name, "Name of the route in logs and metrics.", true, 1},
     {"match", custom_member<route>{ReadMatch, WriteMatch}, "Which requests it takes.", true},
     {"class", custom_member<route>{ReadClass, WriteClass}, "Sort of work.", true},
     {"repeatable", &route::repeatable, "Whether a request may run twice.", true},
     {"deadline_ms", &route::deadline, "Time for the whole request, in milliseconds.", false, 1,
      kDeadlineMilliseconds},
+    {"target_latency_ms", &route::target_latency, "Time in which an answer serves fully.", false, 0,
+     kDeadlineMilliseconds},
+    {"priority", &route::priority, "Rank of admission, 0 first; -1 follows the class.", false, -1,
+     kLowestPriority},
     {"attempts", &route::attempts, "Tries in all, the first included.", false, 1, kAttempts},
     {"concurrency", &route::concurrency, "Requests at once at one target.", false, 1, kPerTarget},
     {"queue", &route::queue, "Requests that may wait at one target.", false, 0, kPerTarget},
@@ -121,29 +132,32 @@
      false, 0, kDeadlineMilliseconds},
 }};
 
-const std::array<field<retry_budget_settings>, 2> kBudgetFields = {{
+const std::array<field<retry_budget_settings>, 3> kBudgetFields = {{
     {"ratio", &retry_budget_settings::ratio, "Retries as a share of first tries.", false, 0, 1},
     {"least_per_second", &retry_budget_settings::least_per_second,
      "Retries a second that are always allowed.", false, 0, 1'000},
+    {"fleet_burst", &retry_budget_settings::fleet_burst,
+     "Retries the whole fleet may save up; negative for a share each.", false, -1,
+     kMostSavedRetries},
 }};
 
 void ReadTargets(const bj::value& from, const std::string& place, document& to, problems& found) {
   json::ReadObject<target_selection>(from, place, kTargetFields, to.targets, found);
 }
 bj::value WriteTargets(const document& from) {
-  return json::WriteObject<target_selection>(from.targets, kTargetFields);
+  return json::WriteChanged<target_selection>(from.targets, kTargetFields);
 }
 void ReadBudget(const bj::value& from, const std::string& place, document& to, problems& found) {
   json::ReadObject<retry_budget_settings>(from, place, kBudgetFields, to.retry_budget, found);
 }
 bj::value WriteBudget(const document& from) {
-  return json::WriteObject<retry_budget_settings>(from.retry_budget, kBudgetFields);
+  return json::WriteChanged<retry_budget_settings>(from.retry_budget, kBudgetFields);
 }
 void ReadRoutes(const bj::value& from, const std::string& place, document& to, problems& found) {
   json::ReadItems<route>(from, place, kRouteFields, to.routes, found);
 }
 bj::value WriteRoutes(const document& from) {
-  return json::WriteItems<route>(from.routes, kRouteFields);
+  return json::WriteChangedItems<route>(from.routes, kRouteFields);
 }
 
 const std::array<field<document>, 6> kDocumentFields = {{
@@ -162,8 +176,25 @@
   });
 }
 
+/// The entry of an index for routes that take every host.
+const std::string kAnyHost;
+
+std::string LowerCase(std::string text) {
+  for (char& each : text) {
+    if (each >= 'A' && each <= 'Z') each = static_cast<char>(each - 'A' + 'a');
+  }
+  return text;
+}
+
+void AddToIndex(const route& added, std::size_t position, host_index& index) {
+  if (added.match.hosts.empty()) index[kAnyHost].push_back(position);
+  for (const std::string& host : added.match.hosts) index[LowerCase(host)].push_back(position);
+}
+
 /// Whether every request that the later match takes is taken by the earlier one already.
 bool Shadows(const route_match& earlier, const route_match& later) {
+  const bool hosts =
+      earlier.hosts.empty() || (!later.hosts.empty() && Subset(later.hosts, earlier.hosts));
   const bool methods =
       earlier.methods.empty() || (!later.methods.empty() && Subset(later.methods, earlier.methods));
   const std::string& path = later.exact.empty() ? later.prefix : later.exact;
@@ -175,7 +206,7 @@
         const auto found = later.headers.find(each.first);
         return found != later.headers.end() && found->second == each.second;
       });
-  return methods && paths && headers;
+  return hosts && methods && paths && headers;
 }
 
 void CheckPath(const std::string& path, const std::string& place, problems& found) {
@@ -209,26 +240,42 @@
   }
 }
 
+/// Reports a later route that an earlier one with a host in common leaves nothing to.
+void CheckReached(const std::vector<route>& routes, std::size_t later,
+                  const std::vector<std::size_t>& earlier, const std::string& place,
+                  problems& found) {
+  for (const std::size_t j : earlier) {
+    if (routes[j].match == routes[later].match) {
+      Report(found, place + "/match", "repeats that of route " + routes[j].name);
+      return;
+    }
+    if (Shadows(routes[j].match, routes[later].match)) {
+      Report(found, place + "/match", "is never reached behind route " + routes[j].name);
+      return;
+    }
+  }
+}
+
 void CheckRoutes(const std::vector<route>& routes, problems& found) {
   if (routes.empty()) Report(found, "/routes", "must not be empty");
-  if (routes.size() > kRoutes) Report(found, "/routes", "must have at most 256 routes");
+  if (routes.size() > kRoutes) {
+    Report(found, "/routes", "must have at most " + std::to_string(kRoutes) + " routes");
+    return;
+  }
   std::set<std::string> names;
+  host_index earlier;
   for (std::size_t i = 0; i < routes.size(); ++i) {
     const std::string place = Child("/routes", std::to_string(i));
     CheckRoute(routes[i], place, found);
     if (!names.insert(routes[i].name).second) {
       Report(found, place + "/name", "stands twice: " + routes[i].name);
     }
-    for (std::size_t j = 0; j < i; ++j) {
-      if (routes[j].match == routes[i].match) {
-        Report(found, place + "/match", "repeats that of route " + routes[j].name);
-        break;
-      }
-      if (Shadows(routes[j].match, routes[i].match)) {
-        Report(found, place + "/match", "is never reached behind route " + routes[j].name);
-        break;
-      }
+    std::set<std::size_t> related(earlier[kAnyHost].begin(), earlier[kAnyHost].end());
+    for (const std::string& host : routes[i].match.hosts) {
+      related.insert(earlier[LowerCase(host)].begin(), earlier[LowerCase(host)].end());
     }
+    CheckReached(routes, i, {related.begin(), related.end()}, place, found);
+    AddToIndex(routes[i], i, earlier);
   }
 }
 
@@ -244,6 +291,18 @@
 
 std::string_view ClassName(route_class kind) { return WordOf(kClasses, kind); }
 
+host_index IndexHosts(const document& content) {
+  host_index index;
+  for (std::size_t i = 0; i < content.routes.size(); ++i) {
+    AddToIndex(content.routes[i], i, index);
+  }
+  return index;
+}
+
+std::string PrintDocument(const document& content) {
+  return bj::serialize(json::WriteChanged<document>(content, kDocumentFields)) + "\n";
+}
+
 std::variant<document, json::problems> ParseDocument(std::string_view text) {
   problems found;
   if (text.size() > kDocumentBytes) {
--- a/src/framework/json/field_table.h
+++ b/src/framework/json/field_table.h
@@ -164,4 +164,27 @@
   return list;
 }
 
+/// The JSON object of an aggregate, with the required members and those that differ from their
+/// defaults.
+template <typename T>
+bj::object WriteChanged(const T& from, std::type_identity_t<std::span<const field<T>>> table) {
+  const T defaults;
+  bj::object object;
+  for (const field<T>& row : table) {
+    bj::value value = internal::WriteMember(row, from);
+    if (!row.required && value == internal::WriteMember(row, defaults)) continue;
+    object[{row.name.data(), row.name.size()}] = std::move(value);
+  }
+  return object;
+}
+
+/// The JSON array of a list of aggregates, without members that have their defaults.
+template <typename Item>
+bj::value WriteChangedItems(const std::vector<Item>& from,
+                            std::type_identity_t<std::span<const field<Item>>> table) {
+  bj::array list;
+  for (const Item& each : from) list.push_back(WriteChanged<Item>(each, table));
+  return list;
+}
+
 }  // namespace catkinmoor::json
--- a/src/framework/logging/internal/log.cc
+++ b/src/framework/logging/internal/log.cc
@@ -1,15 +1,24 @@
 #include "framework/logging/log.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdio>
 #include <ctime>
 
+#include "framework/logging/internal/line_writer.h"
+
 namespace catkinmoor::logging {
 namespace {
 
+/// The program's one writer. A process that ends by a signal loses what is still queued.
+line_writer& Writer() {
+  static line_writer writer(STDOUT_FILENO);
+  return writer;
+}
+
 /// Prints each message of glog as one JSON line. Our own messages are JSON objects already and are
 /// merged; a library's plain text becomes the value of "event".
 class json_line_sink : public google::LogSink {
@@ -39,7 +48,7 @@
       line = boost::json::serialize(entry);
     }
     line.push_back('\n');
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    Writer().Write(std::move(line));
   }
 
  private:
@@ -71,6 +80,8 @@
   google::AddLogSink(&sink);
 }
 
+std::uint64_t DroppedLines() { return Writer().Dropped(); }
+
 void Info(std::string_view event, std::initializer_list<item> items) {
   LOG(INFO) << Line(event, items);
 }
--- a/src/framework/logging/log.h
+++ b/src/framework/logging/log.h
@@ -16,9 +16,12 @@
   std::variant<std::string_view, std::int64_t> value;
 };
 
-/// Starts glog so that every line is one JSON object on standard error. Called once, by main.
+/// Starts glog so that every line is one JSON object on standard output. Called once, by main.
 void Start(const std::string& program, bool verbose);
 
+/// Count of lines that were dropped because nobody read them in time.
+std::uint64_t DroppedLines();
+
 /// Writes one line: the event's name and its values.
 void Info(std::string_view event, std::initializer_list<item> items = {});
 void Warning(std::string_view event, std::initializer_list<item> items = {});
--- a/src/proxy/gate_proxy.h
+++ b/src/proxy/gate_proxy.h
@@ -26,6 +26,8 @@
   std::function<void(const std::string& fingerprint, const std::string& instance)> on_crash;
   /// Called on any thread when a request that was in flight at a crash has been answered since.
   std::function<void(const std::string& fingerprint)> on_cleared;
+  /// Called on any thread when nothing listens at the address of an instance.
+  std::function<void(const std::string& instance)> on_unreachable;
 };
 
 /// Stands in front of the vm's own target. Nothing reaches the target but through its gate, so the
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -16,10 +16,12 @@
 }  // namespace
 
 asio::awaitable<request_fate> attempt_sender::AskGate(member_record target, std::string attempt_id,
-                                                      time_point sent_at, bool spare_waiting) {
+                                                      time_point sent_at, bool spare_waiting,
+                                                      milliseconds time_left) {
   const fence_request question{board_.self.Get().vm, std::move(attempt_id),
                                target.version.incarnation, spare_waiting};
-  auto reply = co_await peers_.Fence(target.control, question, settings_.fence_timeout);
+  const milliseconds patience = std::min(settings_.fence_timeout, time_left);
+  auto reply = co_await peers_.Fence(target.control, question, patience);
   if (!Ok(reply) || Now() - sent_at >= kGateMemory) co_return request_fate::kUnknown;
   co_return Value(reply).fate;
 }
@@ -37,14 +39,17 @@
           call.chosen->repeatable,
           call.chosen->concurrency,
           call.chosen->queue,
-          call.fingerprint};
+          call.fingerprint,
+          settings_.own_service,
+          call.chosen->priority,
+          call.request_id};
 }
 
 asio::awaitable<attempt_result> attempt_sender::Try(entry_worker& worker, connection& caller,
                                                     request_parser& parser, const call_state& call,
                                                     member_record target, std::string attempt_id) {
   attempt_result attempt;
-  attempt.gate = worker.pool.TakeIdle(target.gate);
+  attempt.gate = worker.pool.TakeIdle(target.gate, settings_.idle_timeout);
   if (attempt.gate == nullptr) {
     const auto left = std::chrono::duration_cast<milliseconds>(call.deadline - Now());
     const endpoint dialled = settings_.translation.Apply(target.gate);
@@ -97,7 +102,7 @@
                                                      time_point sent_at) {
   bool answered_before = false;
   while (wait->active) {
-    const request_fate fate = co_await AskGate(target, attempt_id, sent_at, true);
+    const request_fate fate = co_await AskGate(target, attempt_id, sent_at, true, settings_.fence_timeout);
     if (!wait->active) co_return;
     const bool answered = fate == request_fate::kAnswered;
     // An answer may have been on its way when the gate was asked first.
@@ -226,14 +231,15 @@
   attempt.reason = std::string(answer[kReasonHeader]);
   attempt.failure = {error_kind::kRefused, "gate", "", attempt.reason};
   if (outcome == kNotRun) {
-    const bool load = attempt.reason == "queue-full" || attempt.reason == "too-late";
+    const bool load = attempt.reason == "queue-full" || attempt.reason == "too-late" ||
+                      attempt.reason == kTargetRefused;
     attempt.outcome = load ? attempt_outcome::kRefusedByLoad : attempt_outcome::kRefused;
   } else {
     attempt.outcome = attempt_outcome::kLost;
     attempt.gate_asked = outcome == kUnknown;
   }
   const bool reusable = co_await DropAnswer(*attempt.gate, *attempt.answer);
-  if (reusable) worker.pool.Return(target.gate, std::move(attempt.gate));
+  if (reusable) worker.pool.Return(target.gate, std::move(attempt.gate), settings_.idle_timeout);
 }
 
 asio::awaitable<bool> attempt_sender::DropAnswer(connection& gate, response_parser& answer) {
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -14,7 +14,8 @@
 
   /// Asks the gate over another connection what became of an attempt.
   asio::awaitable<request_fate> AskGate(member_record target, std::string attempt_id,
-                                        time_point sent_at, bool spare_waiting);
+                                        time_point sent_at, bool spare_waiting,
+                                        milliseconds time_left);
 
   asio::awaitable<attempt_result> Try(entry_worker& worker, connection& caller,
                                       request_parser& parser, const call_state& call,
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -10,12 +10,16 @@
 
 constexpr int kResumes = 3;
 
+milliseconds LeftOf(const call_state& call) {
+  return std::max(milliseconds(0),
+                  std::chrono::duration_cast<milliseconds>(call.deadline - Now()));
+}
+
 }  // namespace
 
 asio::awaitable<bool> call_carrier::Carry(entry_worker& worker, connection& caller,
                                           request_parser& parser, call_state& call) {
   const document& content = call.content->content;
-  call.split = DrawSplit(*call.chosen, worker.random);
   board_.budget.OnFirstTry(call.service, content.retry_budget, call.started);
   selection_context context = MakeContext();
   attempt_state state{.attempts_made = 0};
@@ -55,7 +59,8 @@
     if (poison && next == next_step::kTryAnother) next = next_step::kSayUnknown;
     if (next == next_step::kAskGate) {
       Count("catkinmoor_fences_total", call);
-      const request_fate fate = co_await sender_.AskGate(*target, attempt_id, sent_at, false);
+      const request_fate fate = co_await sender_.AskGate(*target, attempt_id, sent_at, false,
+                                                           LeftOf(call));
       state.gate_asked = true;
       if (fate == request_fate::kNeverHanded) attempt.outcome = attempt_outcome::kFencedNotRun;
       next = Decide(call, state, attempt.outcome);
@@ -81,7 +86,7 @@
 next_step call_carrier::Decide(const call_state& call, attempt_state state,
                                attempt_outcome outcome) {
   state.outcome = outcome;
-  state.time_left = std::chrono::duration_cast<milliseconds>(call.deadline - Now());
+  state.time_left = LeftOf(call);
   return DecideNext(*call.chosen, state, [&] {
     return board_.budget.Take(call.service, call.content->content.retry_budget, Now());
   });
@@ -102,6 +107,9 @@
       board_.loads.OnSuccess(target.vm);
       break;
     case attempt_outcome::kRefused:
+      // The gate's target is away; the news of it is on its way.
+      if (attempt.reason != kQuarantined) board_.loads.OnFailure(target.vm, Now());
+      return;
     case attempt_outcome::kRefusedByLoad:
     case attempt_outcome::kFencedNotRun:
       break;
@@ -149,7 +157,9 @@
     Abort(caller);
     co_return false;
   }
-  if (reusable && first_source) worker.pool.Return(target.gate, std::move(attempt.gate));
+  if (reusable && first_source) {
+    worker.pool.Return(target.gate, std::move(attempt.gate), settings_.idle_timeout);
+  }
   co_return keep;
 }
 
@@ -216,7 +226,8 @@
     whole = co_await DropBody(caller, parser, settings_.progress_timeout);
   }
   co_return co_await SendOwnAnswer(caller, answer, whole && call.keep_alive && !draining_,
-                                   call.head, settings_.progress_timeout);
+                                   call.head, settings_.progress_timeout,
+                                   settings_.dialect.fractional_retry_after);
 }
 
 metrics::labels call_carrier::LabelsOf(const call_state& call) {
--- a/src/proxy/internal/call_headers.cc
+++ b/src/proxy/internal/call_headers.cc
@@ -25,15 +25,16 @@
 
 std::string FormatLoad(const reported_load& load) {
   return std::to_string(load.in_use) + "," + std::to_string(load.slots) + "," +
-         std::to_string(load.queued);
+         std::to_string(load.queued) + "," + std::to_string(load.service_ms);
 }
 
 std::optional<reported_load> ParseLoad(std::string_view text) {
   const auto in_use = TakeNumber(text);
   const auto slots = TakeNumber(text);
   const auto queued = TakeNumber(text);
-  if (!in_use || !slots || !queued) return std::nullopt;
-  return reported_load{*in_use, *slots, *queued};
+  const auto service_ms = TakeNumber(text);
+  if (!in_use || !slots || !queued || !service_ms) return std::nullopt;
+  return reported_load{*in_use, *slots, *queued, *service_ms};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -22,12 +22,14 @@
 inline constexpr const char* kServiceHeader = "x-catkinmoor-service";
 inline constexpr const char* kRouteHeader = "x-catkinmoor-route";
 inline constexpr const char* kClassHeader = "x-catkinmoor-class";
-inline constexpr const char* kDeadlineHeader = "x-catkinmoor-deadline-ms";
+inline constexpr const char* kLeftHeader = "x-catkinmoor-left-ms";
+inline constexpr const char* kCallerHeader = "x-catkinmoor-caller";
 inline constexpr const char* kDepthHeader = "x-catkinmoor-depth";
 inline constexpr const char* kRepeatableHeader = "x-catkinmoor-repeatable";
 inline constexpr const char* kConcurrencyHeader = "x-catkinmoor-concurrency";
 inline constexpr const char* kQueueHeader = "x-catkinmoor-queue";
 inline constexpr const char* kFingerprintHeader = "x-catkinmoor-fingerprint";
+inline constexpr const char* kPriorityHeader = "x-catkinmoor-priority";
 inline constexpr const char* kRequestIdHeader = "x-request-id";
 
 /// Values of the outcome header.
@@ -38,6 +40,12 @@
 /// Reason of an answer when the deadline passed.
 inline constexpr const char* kDeadline = "deadline";
 
+/// Reason of an answer to a request like those that crashed targets.
+inline constexpr const char* kQuarantined = "quarantined";
+
+/// Reason of an answer when the target itself turned the request away.
+inline constexpr const char* kTargetRefused = "target-refused";
+
 /// Reason of an answer when the target ended while it ran the request.
 inline constexpr const char* kCrashed = "target-crashed";
 
@@ -54,6 +62,9 @@
   std::int64_t concurrency = 1;
   std::int64_t queue = 0;
   std::string fingerprint;
+  std::string caller_service;
+  std::int64_t priority = -1;
+  std::string request_id;
 
   friend bool operator==(const gate_call&, const gate_call&) = default;
 };
@@ -74,11 +85,13 @@
   to.set(kServiceHeader, call.service);
   to.set(kRouteHeader, call.route);
   to.set(kClassHeader, std::to_string(static_cast<int>(call.kind)));
-  to.set(kDeadlineHeader, std::to_string(call.deadline.count()));
+  to.set(kLeftHeader, std::to_string(call.deadline.count()));
   to.set(kRepeatableHeader, call.repeatable ? "1" : "0");
   to.set(kConcurrencyHeader, std::to_string(call.concurrency));
   to.set(kQueueHeader, std::to_string(call.queue));
   to.set(kFingerprintHeader, call.fingerprint);
+  if (!call.caller_service.empty()) to.set(kCallerHeader, call.caller_service);
+  if (call.priority >= 0) to.set(kPriorityHeader, std::to_string(call.priority));
 }
 
 /// Reads a call, or nothing when a field is missing or malformed.
@@ -90,7 +103,7 @@
   };
   const auto incarnation = ParseNumber(text(kIncarnationHeader));
   const auto kind = ParseNumber(text(kClassHeader));
-  const auto deadline = ParseNumber(text(kDeadlineHeader));
+  const auto deadline = ParseNumber(text(kLeftHeader));
   const auto concurrency = ParseNumber(text(kConcurrencyHeader));
   const auto queue = ParseNumber(text(kQueueHeader));
   const bool whole = incarnation && kind && deadline && concurrency && queue &&
@@ -106,7 +119,10 @@
                    text(kRepeatableHeader) == "1",
                    *concurrency,
                    *queue,
-                   std::string(text(kFingerprintHeader))};
+                   std::string(text(kFingerprintHeader)),
+                   std::string(text(kCallerHeader)),
+                   ParseNumber(text(kPriorityHeader)).value_or(-1),
+                   std::string(text(kRequestIdHeader))};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -22,7 +22,7 @@
   std::int64_t depth = 0;
   std::string body;
   std::string fingerprint;
-  label_map split;
+  route_split split;
   bool streams = false;
   bool caller_expects = false;
   std::string validator;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -20,10 +20,10 @@
 constexpr milliseconds kAcceptPause{10};
 constexpr std::size_t kRequestIdLength = 128;
 
-std::string ServiceOf(const request_message& message) {
+/// The host without a port.
+std::string HostOf(const request_message& message) {
   const auto host = message[bhttp::field::host];
-  const std::string name(host.substr(0, host.find(':')));
-  return name.substr(0, name.find('.'));
+  return std::string(host.substr(0, host.find(':')));
 }
 
 std::string PathOf(const request_message& message) {
@@ -136,22 +136,31 @@
   }
 
   /// Finds the route of a request and fills the call's state, or yields why it is not served.
-  std::optional<own_answer> Prepare(request_parser& parser, entry_side side, call_state& call) {
+  std::optional<own_answer> Prepare(request_parser& parser, entry_side side, call_state& call,
+                                    std::mt19937_64& random) {
     request_message& message = parser.get();
     call.started = Now();
     call.head = message.method() == bhttp::verb::head;
     call.keep_alive = parser.keep_alive();
     call.caller_expects = beast::iequals(message[bhttp::field::expect], "100-continue");
-    call.service = ServiceOf(message);
+    const std::string host = HostOf(message);
+    const std::string& mesh = settings_.mesh_document;
+    call.service = mesh.empty() ? host.substr(0, host.find('.')) : mesh;
     if (side == entry_side::kTarget) call.depth = NumberIn(message, kDepthHeader, 0);
-    const std::int64_t given = NumberIn(message, kDeadlineHeader, INT64_MAX);
+    const std::int64_t given = NumberIn(message, settings_.dialect.deadline_header.c_str(), INT64_MAX);
     call.request_id = std::string(message[kRequestIdHeader]);
     if (call.request_id.empty() || call.request_id.size() > kRequestIdLength) {
       call.request_id = RandomId();
     }
+    if (message.count(bhttp::field::host) != 1) {
+      return NotRun(400, "malformed", "read request", "a request names exactly one host");
+    }
     if (!ready_) return NotRun(503, "not-ready", "entry", "the daemon has not joined yet");
     if (draining_) return NotRun(503, "draining", "entry", "the daemon is stopping");
     call.content = board_.documents.InForce(call.service);
+    if (call.content == nullptr && !mesh.empty()) {
+      return NotRun(503, "not-ready", "find document", "no configuration has been learnt yet");
+    }
     if (call.content == nullptr) {
       return NotRun(404, "no-service", "find document", "no document for \"" + call.service + "\"");
     }
@@ -163,15 +172,20 @@
                                   message[beast::string_view(name.data(), name.size())];
                               return std::string_view(value.data(), value.size());
                             },
-                            side == entry_side::kTarget};
-    const auto found = FindRoute(call.content->content, view);
+                            side == entry_side::kTarget,
+                            host};
+    const auto found = FindRoute(*call.content, view);
     if (const auto* reason = std::get_if<no_route>(&found)) return AnswerFor(*reason);
     call.chosen = std::get<const route*>(found);
+    call.split = DrawSplit(call.content->content, *call.chosen, random);
+    call.service = call.split.service;
     if (call.depth >= settings_.max_depth) {
       return NotRun(508, "too-deep", "entry", "calls are nested too deeply");
     }
     milliseconds time = call.chosen->deadline;
-    if (side == entry_side::kTarget) time = std::min(time, milliseconds(given));
+    if (side == entry_side::kTarget || settings_.dialect.callers_state_deadlines) {
+      time = std::min(time, milliseconds(given));
+    }
     if (time.count() <= 0) return NotRun(504, "too-late", "entry", "the deadline has passed");
     call.deadline = call.started + time;
     RemoveHopByHop(message);
@@ -184,7 +198,7 @@
   asio::awaitable<bool> HandleRequest(entry_worker& worker, connection& caller,
                                       request_parser& parser, entry_side side) {
     call_state call;
-    if (auto refused = Prepare(parser, side, call)) {
+    if (auto refused = Prepare(parser, side, call, worker.random)) {
       co_return co_await carrier_.AnswerOwn(caller, parser, call, std::move(*refused));
     }
     const auto length = parser.content_length();
@@ -203,7 +217,7 @@
     call.fingerprint = Fingerprint(call.service, std::string(parser.get().method_string()),
                                    std::string(parser.get().target()), call.body);
     if (board_.quarantine.IsQuarantined(call.fingerprint, Now())) {
-      own_answer refused = NotRun(503, "quarantined", "entry",
+      own_answer refused = NotRun(503, kQuarantined, "entry",
                                   "requests like this one crashed targets: " + call.fingerprint);
       co_return co_await carrier_.AnswerOwn(caller, parser, call, std::move(refused));
     }
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -21,6 +21,12 @@
 constexpr milliseconds kHandedRetention{30'000};
 constexpr milliseconds kLedgerSweep{1'000};
 constexpr milliseconds kCrashLook{50};
+constexpr milliseconds kLongestIdle{30'000};
+// A connection that was used this lately is not one that the target closes for idleness.
+constexpr milliseconds kIdleBeforeUnsafe{800};
+// Late answers to earlier requests that are read past before a connection is given up.
+constexpr int kPassedAnswers = 3;
+constexpr std::size_t kPassedBytes = 256U << 10U;
 constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
 
 own_answer NotRun(unsigned status, std::string reason, std::string message) {
@@ -171,7 +177,7 @@
       return NotRun(503, "other-target", "the target is another one now");
     }
     if (board_.quarantine.IsQuarantined(call->fingerprint, Now())) {
-      return NotRun(503, "quarantined", "requests like this one crashed targets");
+      return NotRun(503, kQuarantined, "requests like this one crashed targets");
     }
     if (present.state != target_state::kReady) {
       return NotRun(503, "draining", "the target takes no new work");
@@ -220,7 +226,8 @@
   asio::awaitable<bool> Admit(std::size_t worker, connection& entry, request_parser& parser,
                               gate_call call) {
     const time_point deadline = Now() + call.deadline;
-    admission_request request{0, call.kind, call.route, call.concurrency, call.queue, deadline};
+    admission_request request{0,          call.kind, call.route,   call.concurrency,
+                              call.queue, deadline,  call.priority};
     const auto place = std::make_shared<slot_controller::place>(entry.stream.get_executor());
     admission_decision decision;
     {
@@ -241,15 +248,20 @@
     co_return co_await HandOn(worker, entry, parser, std::move(call), *target, deadline);
   }
 
-  asio::awaitable<result<connection_ptr>> Reach(std::size_t worker, endpoint where) {
-    if (auto idle = pools_[worker].TakeIdle(where)) co_return std::move(idle);
+  /// A request that may not run twice is given no connection that the target may be closing.
+  asio::awaitable<result<connection_ptr>> Reach(std::size_t worker, endpoint where,
+                                                bool repeatable) {
+    const milliseconds oldest = repeatable ? kLongestIdle : kIdleBeforeUnsafe;
+    if (auto idle = pools_[worker].TakeIdle(where, oldest)) co_return std::move(idle);
     co_return co_await Connect(where, settings_.connect_timeout);
   }
 
   asio::awaitable<bool> HandOn(std::size_t worker, connection& entry, request_parser& parser,
                                gate_call call, present_target target, time_point deadline) {
-    auto reached = co_await Reach(worker, target.where);
+    auto reached = co_await Reach(worker, target.where, call.repeatable);
     if (!Ok(reached)) {
+      const bool refused = Failure(reached).kind == error_kind::kUnavailable;
+      if (refused && board_.on_unreachable) board_.on_unreachable(call.instance);
       co_return co_await Refuse(entry, parser,
                                 NotRun(503, "no-target", Describe(Failure(reached))));
     }
@@ -277,14 +289,19 @@
                               deadline);
   }
 
-  static void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) {
+  void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) const {
+    const wire_dialect& dialect = settings_.dialect;
     const std::string depth(message[kDepthHeader]);
     RemoveHopByHop(message);
     RemoveOwnHeaders(message);
     message.erase(bhttp::field::expect);
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - Now());
-    message.set(kDeadlineHeader, std::to_string(left.count()));
+    message.set(dialect.deadline_header, std::to_string(std::max<std::int64_t>(1, left.count())));
     message.set(kAttemptHeader, call.attempt);
+    if (!dialect.instance_header.empty()) message.set(dialect.instance_header, call.instance);
+    if (!dialect.caller_service_header.empty()) {
+      message.set(dialect.caller_service_header, call.caller_service);
+    }
     if (!depth.empty()) message.set(kDepthHeader, depth);
     message.version(11);
     message.keep_alive(true);
@@ -302,17 +319,12 @@
         entry_gone = true;
         backend->stream.cancel();
       });
-      do {
-        parser.emplace();
-        parser->body_limit(boost::none);
-        parser->header_limit(kAnswerHeaderBytes);
-        parser->skip(head);
-        backend->stream.expires_at(deadline);
-        auto [read_failed, count] =
-            co_await bhttp::async_read_header(backend->stream, backend->buffer, *parser, kAwait);
-        failed = read_failed;
-      } while (!failed && parser->get().result_int() < 200);
+      failed = co_await ReadOwnAnswer(*backend, parser, call, head, deadline);
+    }
+    if (!failed && TurnedAway(parser->get())) {
+      co_return co_await PassRefusal(worker, entry, std::move(backend), where, *parser, head, keep);
     }
+    if (!failed && IsSpoiled(parser->get())) failed = bhttp::error::bad_value;
     if (failed) {
       Abort(*backend);
       if (entry_gone) co_return false;
@@ -331,6 +343,7 @@
       co_return co_await SendOwnAnswer(entry, lost, keep, head, settings_.progress_timeout);
     }
     const bool reusable = parser->keep_alive();
+    const milliseconds usable = IdleTimeOf(parser->get());
     PrepareAnswer(*parser, keep);
     transfer_outcome sent = transfer_outcome::kWhole;
     if (head) {
@@ -346,10 +359,78 @@
     }
     board_.ledger.Answered(call.attempt);
     if (board_.quarantine.OnSuccess(call.fingerprint)) board_.on_cleared(call.fingerprint);
-    if (reusable) pools_[worker].Return(where, std::move(backend));
+    if (reusable) pools_[worker].Return(where, std::move(backend), usable);
     co_return keep;
   }
 
+  /// Reads the header of the answer to a call. Interim answers and late ones to earlier requests on
+  /// the connection are passed over.
+  asio::awaitable<beast::error_code> ReadOwnAnswer(connection& backend,
+                                                   std::optional<response_parser>& parser,
+                                                   const gate_call& call, bool head,
+                                                   time_point deadline) {
+    for (int passed = 0; passed <= kPassedAnswers; ++passed) {
+      parser.emplace();
+      parser->body_limit(boost::none);
+      parser->header_limit(kAnswerHeaderBytes);
+      parser->skip(head);
+      backend.stream.expires_at(deadline);
+      auto [failed, count] =
+          co_await bhttp::async_read_header(backend.stream, backend.buffer, *parser, kAwait);
+      if (failed) co_return failed;
+      if (parser->get().result_int() < 200) continue;
+      if (!settings_.dialect.targets_repeat_ids) co_return failed;
+      const auto id = parser->get()[kRequestIdHeader];
+      if (id == call.request_id) co_return failed;
+      board_.metrics.Count("catkinmoor_gate_crossed_answers_total");
+      logging::Warning("crossed answer", {{"request", call.request_id},
+                                          {"answers", std::string_view(id.data(), id.size())},
+                                          {"instance", call.instance}});
+      if (id.empty() || parser->need_eof()) co_return bhttp::error::bad_value;
+      std::string dropped;
+      const bool whole = co_await ReadWholeBody(backend, *parser, kPassedBytes, dropped,
+                                                settings_.progress_timeout);
+      if (!whole) co_return bhttp::error::partial_message;
+    }
+    co_return bhttp::error::bad_value;
+  }
+
+  /// Whether a target's answer says that it has not run the request.
+  bool TurnedAway(const response_message& answer) const {
+    const wire_dialect& dialect = settings_.dialect;
+    const bool misdirected = answer.result_int() == 421 && !dialect.instance_header.empty();
+    return misdirected || (!dialect.not_run_header.empty() &&
+                           answer.find(dialect.not_run_header) != answer.end());
+  }
+
+  /// Whether an answer cannot be what the target meant to send.
+  bool IsSpoiled(const response_message& answer) const {
+    const wire_dialect& dialect = settings_.dialect;
+    if (dialect.proof_header.empty()) return false;
+    const bool success = answer.result_int() / 100 == 2;
+    return success && (answer.find(dialect.proof_header) == answer.end() ||
+                       answer.find(bhttp::field::content_encoding) != answer.end());
+  }
+
+  /// Tells the entry that the target has not run a request.
+  asio::awaitable<bool> PassRefusal(std::size_t worker, connection& entry, connection_ptr backend,
+                                    endpoint where, response_parser& answer, bool head, bool keep) {
+    const unsigned status = answer.get().result_int();
+    const bool reusable = answer.keep_alive() && !answer.need_eof();
+    const milliseconds usable = IdleTimeOf(answer.get());
+    std::string dropped;
+    bool whole = false;
+    if (reusable) {
+      whole = co_await ReadWholeBody(*backend, answer, kPassedBytes, dropped,
+                                     settings_.progress_timeout);
+    }
+    if (whole) pools_[worker].Return(where, std::move(backend), usable);
+    const std::string reason = status == 421 ? "other-target" : kTargetRefused;
+    board_.metrics.Count("catkinmoor_gate_refusals_total", {{"reason", reason}});
+    own_answer refused = NotRun(503, reason, "the target answered " + std::to_string(status));
+    co_return co_await SendOwnAnswer(entry, refused, keep, head, settings_.progress_timeout);
+  }
+
   /// Whether nothing listens any more where a connection has just broken.
   asio::awaitable<bool> IsGone(endpoint where) {
     const auto opened = co_await Connect(where, settings_.connect_timeout);
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -66,7 +66,8 @@
 
 reported_load slot_controller::Load() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return {queue_.InUse(), queue_.Slots(), queue_.Queued()};
+  return {queue_.InUse(), queue_.Slots(), queue_.Queued(),
+          static_cast<std::uint32_t>(queue_.MeanServiceMs())};
 }
 
 void slot_controller::Finish(const std::string& route, milliseconds service_time) {
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -1,5 +1,6 @@
 #include "proxy/internal/stream_http.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/beast/http/read.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <cstdio>
 
 #include "proxy/internal/call_headers.h"
 
@@ -16,6 +18,16 @@
 constexpr std::size_t kBlockBytes = 64U << 10U;
 constexpr std::size_t kDropBytes = 256U << 10U;
 
+// Idle time of a connection whose peer states none; shorter than most servers' own.
+constexpr milliseconds kUnstatedIdle{4'000};
+// Taken off a stated idle time, which is whole seconds and counts from the peer's side.
+constexpr milliseconds kIdleMargin{1'000};
+// A peer that acknowledges nothing for so long is cut off; links answer within tens of milliseconds.
+constexpr int kUnacknowledgedMs = 1'500;
+// Probes of an idle or waiting connection, in seconds; together they find a dead peer in two.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
 bool IsMalformed(const beast::error_code& failed) {
   return failed.category() == make_error_code(bhttp::error::bad_method).category() &&
          failed != bhttp::error::end_of_stream && failed != bhttp::error::partial_message;
@@ -31,6 +43,14 @@
   return answer;
 }
 
+/// The value of Retry-After. Whole seconds are rounded up, so that nobody comes back too early.
+std::string RetryAfter(milliseconds after, bool fractional) {
+  if (!fractional) return std::to_string((after.count() + 999) / 1000);
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(after.count()) / 1000);
+  return text;
+}
+
 bool StartsWith(beast::string_view text, std::string_view prefix) {
   return text.size() >= prefix.size() &&
          beast::iequals(text.substr(0, prefix.size()), {prefix.data(), prefix.size()});
@@ -162,7 +182,7 @@
 }
 
 asio::awaitable<bool> SendOwnAnswer(connection& to, const own_answer& answer, bool keep_alive,
-                                    bool head, milliseconds timeout) {
+                                    bool head, milliseconds timeout, bool fractional_retry_after) {
   const boost::json::object failure{{"kind", KindName(answer.failure.kind)},
                                     {"step", answer.failure.step},
                                     {"peer", answer.failure.peer},
@@ -171,7 +191,9 @@
   message.set(bhttp::field::content_type, "application/json");
   message.set(kOutcomeHeader, answer.outcome);
   if (!answer.reason.empty()) message.set(kReasonHeader, answer.reason);
-  if (answer.status == 503) message.set(bhttp::field::retry_after, "1");
+  if (answer.status == 503 || answer.status == 429) {
+    message.set(bhttp::field::retry_after, RetryAfter(answer.retry_after, fractional_retry_after));
+  }
   message.body() =
       boost::json::serialize(boost::json::object{{"outcome", answer.outcome}, {"error", failure}}) +
       "\n";
@@ -217,8 +239,10 @@
                                           moved);
 }
 
-asio::awaitable<bool> ReadWholeBody(connection& from, request_parser& parser, std::size_t bound,
-                                    std::string& body, milliseconds progress) {
+template <bool kIsRequest>
+asio::awaitable<bool> ReadWholeBody(connection& from,
+                                    bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                    std::size_t bound, std::string& body, milliseconds progress) {
   while (!parser.is_done()) {
     const std::size_t used = body.size();
     if (used > bound) co_return false;
@@ -236,6 +260,11 @@
   co_return body.size() <= bound;
 }
 
+template asio::awaitable<bool> ReadWholeBody<true>(connection&, request_parser&, std::size_t,
+                                                   std::string&, milliseconds);
+template asio::awaitable<bool> ReadWholeBody<false>(connection&, response_parser&, std::size_t,
+                                                    std::string&, milliseconds);
+
 asio::awaitable<bool> DropBody(connection& from, request_parser& parser, milliseconds progress) {
   std::string dropped;
   co_return co_await ReadWholeBody(from, parser, kDropBytes, dropped, progress);
@@ -274,6 +303,22 @@
   watched_.stream.socket().cancel(ignored);
 }
 
+namespace {
+
+/// Has the system find out about a peer that is gone or no longer reached.
+void WatchPeer(asio::ip::tcp::socket& socket) {
+  const auto set = [&](int level, int name, int value) {
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
+}  // namespace
+
 asio::awaitable<result<connection_ptr>> Connect(endpoint peer, milliseconds timeout) {
   beast::error_code bad_address;
   const auto address = asio::ip::make_address(peer.address, bad_address);
@@ -291,27 +336,42 @@
   }
   beast::error_code ignored;
   opened->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  WatchPeer(opened->stream.socket());
   co_return std::move(opened);
 }
 
-connection_ptr connection_pool::TakeIdle(const endpoint& peer) {
+milliseconds IdleTimeOf(const bhttp::fields& answer) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto text = answer[bhttp::field::keep_alive];
+  const std::string_view value(text.data(), text.size());
+  const auto found = value.find(kTimeout);
+  if (found == std::string_view::npos) return kUnstatedIdle;
+  std::string_view digits = value.substr(found + kTimeout.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  const auto seconds = ParseNumber(digits);
+  if (!seconds) return kUnstatedIdle;
+  return std::max(milliseconds(0), milliseconds(*seconds * 1000) - kIdleMargin);
+}
+
+connection_ptr connection_pool::TakeIdle(const endpoint& peer, milliseconds oldest) {
   const auto found = idle_.find(peer);
   if (found == idle_.end()) return nullptr;
   auto& held = found->second;
-  const time_point oldest = Now() - settings_.idle_timeout / 2;
+  const time_point now = Now();
   while (!held.empty()) {
     idle_connection last = std::move(held.back());
     held.pop_back();
-    if (last.since > oldest && !IsStale(*last.held)) return std::move(last.held);
+    const milliseconds longest = std::min({oldest, last.usable, settings_.idle_timeout / 2});
+    if (now - last.since < longest && !IsStale(*last.held)) return std::move(last.held);
   }
   return nullptr;
 }
 
-void connection_pool::Return(const endpoint& peer, connection_ptr idle) {
+void connection_pool::Return(const endpoint& peer, connection_ptr idle, milliseconds usable) {
   auto& held = idle_[peer];
   if (static_cast<std::int64_t>(held.size()) >= limit_) return;
   idle->stream.expires_never();
-  held.push_back({std::move(idle), Now()});
+  held.push_back({std::move(idle), Now(), usable});
 }
 
 result<std::unique_ptr<asio::ip::tcp::acceptor>> Bind(asio::io_context& context,
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -53,6 +53,8 @@
   const char* outcome = "not-run";
   std::string reason;
   error failure;
+  /// When a request that was not run is worth sending again.
+  milliseconds retry_after{1'000};
 };
 
 /// Removes fields that concern one connection only, those listed in Connection included.
@@ -73,7 +75,8 @@
 
 /// Sends an answer of our own. False when the connection cannot be used further.
 asio::awaitable<bool> SendOwnAnswer(connection& to, const own_answer& answer, bool keep_alive,
-                                    bool head, milliseconds timeout);
+                                    bool head, milliseconds timeout,
+                                    bool fractional_retry_after = false);
 
 /// How far the transfer of a body came.
 enum class transfer_outcome { kWhole, kReadFailed, kWriteFailed };
@@ -102,8 +105,10 @@
                                                connection& to, milliseconds progress);
 
 /// Reads the rest of a body into a string, up to a bound. False when it is longer or breaks off.
-asio::awaitable<bool> ReadWholeBody(connection& from, request_parser& parser, std::size_t bound,
-                                    std::string& body, milliseconds progress);
+template <bool kIsRequest>
+asio::awaitable<bool> ReadWholeBody(connection& from,
+                                    bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                    std::size_t bound, std::string& body, milliseconds progress);
 
 /// Reads and drops the rest of a request's body, so that the connection can be used again. False
 /// when that is not worth while.
@@ -135,6 +140,10 @@
   std::shared_ptr<bool> active_;
 };
 
+/// How long a peer leaves a connection open when idle, as far as its answer says, with some time
+/// taken off for the way.
+milliseconds IdleTimeOf(const bhttp::fields& answer);
+
 /// Opens a connection. Fails with kUnavailable or kTimeout.
 asio::awaitable<result<connection_ptr>> Connect(endpoint peer, milliseconds timeout);
 
@@ -144,9 +153,10 @@
   explicit connection_pool(const proxy_settings& settings)
       : settings_(settings), limit_(settings.pool_idle) {}
 
-  /// An idle connection that the peer has not closed, or null.
-  connection_ptr TakeIdle(const endpoint& peer);
-  void Return(const endpoint& peer, connection_ptr idle);
+  /// A connection that the peer has not closed and that was used within the age, or null.
+  connection_ptr TakeIdle(const endpoint& peer, milliseconds oldest);
+  /// Keeps a connection for the time that its peer leaves it open when idle.
+  void Return(const endpoint& peer, connection_ptr idle, milliseconds usable);
 
   /// Closes the idle connections to one peer.
   void Forget(const endpoint& peer) { idle_.erase(peer); }
@@ -161,6 +171,7 @@
   struct idle_connection {
     connection_ptr held;
     time_point since;
+    milliseconds usable;
   };
   const proxy_settings& settings_;
   std::atomic<std::int64_t> limit_;
--- a/src/routing/internal/retry_policy.cc
+++ b/src/routing/internal/retry_policy.cc
@@ -9,20 +9,24 @@
 constexpr double kSavedSeconds = 5;
 constexpr double kSavedTries = 100;
 
-double Capacity(const retry_budget_settings& settings) {
+double Capacity(const retry_budget_settings& settings, std::size_t daemons) {
+  if (settings.fleet_burst >= 0) {
+    return settings.fleet_burst / static_cast<double>(std::max<std::size_t>(1, daemons));
+  }
   return std::max(1.0, kSavedSeconds * settings.least_per_second + kSavedTries * settings.ratio);
 }
 
 }  // namespace
 
-void retry_budget::Refill(bucket& of, const retry_budget_settings& settings, time_point now) {
+void retry_budget::Refill(bucket& of, const retry_budget_settings& settings,
+                          time_point now) const {
   if (of.refilled == time_point{}) {
     of.tokens = settings.least_per_second;
   } else {
     const double seconds = std::chrono::duration<double>(now - of.refilled).count();
     of.tokens += std::max(0.0, seconds) * settings.least_per_second;
   }
-  of.tokens = std::min(of.tokens, Capacity(settings));
+  of.tokens = std::min(of.tokens, Capacity(settings, daemons_));
   of.refilled = now;
 }
 
@@ -31,7 +35,7 @@
   buckets_.With(service, [&](auto& entries) {
     bucket& own = entries[service];
     Refill(own, settings, now);
-    own.tokens = std::min(own.tokens + settings.ratio, Capacity(settings));
+    own.tokens = std::min(own.tokens + settings.ratio, Capacity(settings, daemons_));
     return 0;
   });
 }
--- a/src/routing/internal/route_matcher.cc
+++ b/src/routing/internal/route_matcher.cc
@@ -1,6 +1,7 @@
 #include "routing/route_matcher.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace catkinmoor {
 namespace {
@@ -24,23 +25,51 @@
                      [&](const auto& each) { return request.header(each.first) == each.second; });
 }
 
-}  // namespace
-
-std::variant<const route*, no_route> FindRoute(const document& content,
-                                               const request_view& request) {
+/// What looking through some of a document's routes yielded.
+struct search {
+  const route* found = nullptr;
   no_route reason = no_route::kNotFound;
-  for (const route& each : content.routes) {
+};
+
+search FindIn(const active_document& content, const std::string& host,
+              const request_view& request) {
+  search result;
+  const auto listed = content.by_host.find(host);
+  if (listed == content.by_host.end()) return result;
+  for (const std::size_t index : listed->second) {
+    const route& each = content.content.routes[index];
     if (!PathMatches(each.match, request.path) || !HeadersMatch(each.match, request)) continue;
     if (!MethodMatches(each.match, request.method)) {
-      reason = no_route::kWrongMethod;
+      result.reason = no_route::kWrongMethod;
       continue;
     }
     if (each.callers == caller_scope::kInternal && !request.internal_caller) {
-      return no_route::kNotAllowed;
+      result.reason = no_route::kNotAllowed;
+      return result;
     }
-    return &each;
+    result.found = &each;
+    return result;
   }
-  return reason;
+  return result;
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+std::variant<const route*, no_route> FindRoute(const active_document& content,
+                                               const request_view& request) {
+  const search by_host = FindIn(content, LowerCase(request.host), request);
+  if (by_host.found != nullptr) return by_host.found;
+  if (by_host.reason != no_route::kNotFound || request.host.empty()) return by_host.reason;
+  const search anywhere = FindIn(content, "", request);
+  if (anywhere.found != nullptr) return anywhere.found;
+  return anywhere.reason;
 }
 
 }  // namespace catkinmoor
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -12,6 +12,17 @@
 constexpr double kLeastShare = 0.05;
 constexpr std::size_t kSubset = 16;
 
+/// Round trips by distance: within a data centre, a region, and between regions; usual figures of
+/// the users' networks, since only their differences matter.
+constexpr double kRoundTripMs[] = {0.4, 2.0, 24.0};
+/// Time of a target that has reported none yet.
+constexpr double kAssumedServiceMs = 100;
+/// How much a full target slows its requests down compared with an idle one.
+constexpr double kCrowdingWeight = 0.3;
+/// Share of slots in use above which a request may have to wait.
+constexpr double kComfortableShare = 0.9;
+constexpr double kChance = 0.08;
+
 bool HasLabels(const label_map& present, const label_map& wanted) {
   return std::all_of(wanted.begin(), wanted.end(), [&](const auto& each) {
     const auto found = present.find(each.first);
@@ -47,6 +58,43 @@
   return (work + 1) / (slots * WarmShare(member, content, context));
 }
 
+/// The time in which an answer is expected, in milliseconds: the way there and back, the time that
+/// the target takes, and the wait for a slot.
+double ExpectedMs(const member_record& member, const document& content,
+                  const selection_context& context, const load_board& loads) {
+  const target_load load = loads.Get(member.vm);
+  const bool fresh = context.now - load.reported_at < kReportAge;
+  double work = load.outstanding;
+  double service_ms = kAssumedServiceMs;
+  if (fresh) {
+    work = std::max(work, static_cast<double>(load.reported.in_use + load.reported.queued));
+    if (load.reported.service_ms > 0) service_ms = load.reported.service_ms;
+  }
+  const double slots =
+      std::max<double>(1, member.target->slots) * WarmShare(member, content, context);
+  const double full = (work + 1) / slots;
+  const double crowding = kCrowdingWeight * std::min(full, 1.0) * std::min(full, 1.0);
+  const double wait = std::max(0.0, full - kComfortableShare);
+  return kRoundTripMs[Distance(member, context)] + service_ms * (1 + crowding + wait);
+}
+
+/// The member whose answer is expected soonest. A little chance keeps choosers that see the same
+/// reports from turning to one target all at once.
+member_ptr SoonestOf(const std::vector<member_ptr>& from, const document& content,
+                     const selection_context& context, const load_board& loads,
+                     std::mt19937_64& random) {
+  std::uniform_real_distribution<double> chance(1 - kChance, 1 + kChance);
+  member_ptr best;
+  double least = 0;
+  for (const member_ptr& each : from) {
+    const double expected = ExpectedMs(*each, content, context, loads) * chance(random);
+    if (best != nullptr && expected >= least) continue;
+    best = each;
+    least = expected;
+  }
+  return best;
+}
+
 /// Keeps the members whose hash with the chooser is greatest, so that each chooser holds
 /// connections to a bounded, evenly spread part of a large service.
 std::vector<member_ptr> SubsetFor(std::vector<member_ptr> members, const std::string& chooser) {
@@ -60,8 +108,9 @@
 
 }  // namespace
 
-std::vector<member_ptr> EligibleTargets(const document& content, const label_map& split_labels,
+std::vector<member_ptr> EligibleTargets(const document& content, const route_split& split,
                                         const std::vector<member_ptr>& announced) {
+  const std::string& service = split.service.empty() ? content.service : split.service;
   std::vector<member_ptr> eligible;
   for (const member_ptr& each : announced) {
     const auto& regions = content.targets.regions;
@@ -69,23 +118,26 @@
         regions.empty() || std::find(regions.begin(), regions.end(), each->region) != regions.end();
     const bool usable = IsPresent(*each) && each->target &&
                         each->target->state == target_state::kReady &&
-                        each->target->service == content.service;
+                        each->target->service == service;
     if (usable && in_region && HasLabels(each->target->labels, content.targets.labels) &&
-        HasLabels(each->target->labels, split_labels)) {
+        HasLabels(each->target->labels, split.labels)) {
       eligible.push_back(each);
     }
   }
   return eligible;
 }
 
-label_map DrawSplit(const route& chosen_route, std::mt19937_64& random) {
-  if (chosen_route.splits.empty()) return {};
+route_split DrawSplit(const document& content, const route& chosen_route,
+                      std::mt19937_64& random) {
+  if (chosen_route.splits.empty()) return {{}, 1, content.service};
   std::vector<double> weights;
   for (const route_split& each : chosen_route.splits) {
     weights.push_back(static_cast<double>(each.weight));
   }
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-  return chosen_route.splits[draw(random)].labels;
+  route_split drawn = chosen_route.splits[draw(random)];
+  if (drawn.service.empty()) drawn.service = content.service;
+  return drawn;
 }
 
 member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
@@ -101,6 +153,9 @@
   }
   std::vector<member_ptr>& from = healthy.empty() ? ejected : healthy;
   if (from.empty()) return nullptr;
+  if (preference == locality::kBalanced) {
+    return SoonestOf(SubsetFor(std::move(from), context.vm), content, context, loads, random);
+  }
   if (preference != locality::kAny) {
     int nearest = Distance(*from.front(), context);
     for (const member_ptr& each : from) nearest = std::min(nearest, Distance(*each, context));
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -13,6 +13,8 @@
   std::uint32_t in_use = 0;
   std::uint32_t slots = 1;
   std::uint32_t queued = 0;
+  /// Mean time that the target takes for a request; 0 when unknown.
+  std::uint32_t service_ms = 0;
 
   friend bool operator==(const reported_load&, const reported_load&) = default;
 };
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 
@@ -82,15 +83,19 @@
   /// Takes one retry if the budget holds one.
   bool Take(const std::string& service, const retry_budget_settings& settings, time_point now);
 
+  /// Sets how many daemons share what the whole fleet may save up.
+  void SetDaemons(std::size_t count) { daemons_ = count; }
+
  private:
   struct bucket {
     double tokens = 0;
     time_point refilled{};
   };
 
-  static void Refill(bucket& of, const retry_budget_settings& settings, time_point now);
+  void Refill(bucket& of, const retry_budget_settings& settings, time_point now) const;
 
   sharded_map<std::string, bucket> buckets_;
+  std::atomic<std::size_t> daemons_ = 1;
 };
 
 }  // namespace catkinmoor
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -23,15 +23,17 @@
 
 /// The targets that a document's routes may use: announced for the service, ready, in the
 /// document's regions and with its labels. Order is kept.
-std::vector<member_ptr> EligibleTargets(const document& content, const label_map& split_labels,
+std::vector<member_ptr> EligibleTargets(const document& content, const route_split& split,
                                         const std::vector<member_ptr>& announced);
 
-/// Draws one of the route's splits by weight; empty labels when it has none.
-label_map DrawSplit(const route& chosen_route, std::mt19937_64& random);
+/// Draws one of the route's splits by weight, its service filled in.
+route_split DrawSplit(const document& content, const route& chosen_route,
+                      std::mt19937_64& random);
 
-/// Picks a target: the nearest place that has one, there the better of two random choices on
-/// outstanding work and load reported on answers. Targets already tried are left out, and those
-/// that failed lately are used only when nothing else is left. Null when there is none.
+/// Picks a target: by default the nearest place that has one, there the better of two random
+/// choices on outstanding work and load reported on answers; with balanced locality the one whose
+/// answer is expected soonest. Targets already tried are left out, and those that failed lately are
+/// used only when nothing else is left. Null when there is none.
 member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
                       locality preference, const selection_context& context,
                       const load_board& loads, std::mt19937_64& random);
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -55,8 +55,9 @@
 
 std::string NameOf(const document& content, std::string_view method, std::string_view path,
                    bool internal = false) {
+  const catkinmoor::active_document active{{}, content, catkinmoor::IndexHosts(content)};
   const auto found = FindRoute(
-      content, {method, path, [](std::string_view) { return std::string_view(); }, internal});
+      active, {method, path, [](std::string_view) { return std::string_view(); }, internal});
   const auto* chosen = std::get_if<const route*>(&found);
   if (chosen != nullptr) return (*chosen)->name;
   return std::to_string(static_cast<int>(std::get<no_route>(found)));
--- /dev/null
+++ b/src/store/internal/repository_source.cc
@@ -0,0 +1,54 @@
+#include "store/repository_source.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+
+namespace catkinmoor {
+
+namespace asio = boost::asio;
+
+asio::awaitable<result<source_update>> repository_source::Await(std::uint64_t position,
+                                                                milliseconds /*wait*/) {
+  auto last = co_await repository_.LastChange();
+  if (!Ok(last)) co_return Failure(last);
+  // A source that answers from the past names a smaller number, which changes nothing.
+  if (Value(last) <= position) co_return source_update{position, {}};
+  const bool first = position == 0;
+  result<std::vector<document_change>> changes;
+  if (first) {
+    changes = co_await repository_.Current();
+  } else {
+    changes = co_await repository_.ChangesAfter(position);
+  }
+  if (!Ok(changes)) co_return Failure(changes);
+  if (Value(changes).empty()) co_return source_update{position, {}};
+  std::uint64_t reached = first ? Value(last) : position;
+  for (const document_change& each : Value(changes)) reached = std::max(reached, each.change);
+  auto loaded = co_await Load(std::move(Value(changes)));
+  if (!Ok(loaded)) co_return Failure(loaded);
+  co_return source_update{reached, std::move(Value(loaded))};
+}
+
+asio::awaitable<result<std::vector<document_version>>> repository_source::Load(
+    std::vector<document_change> changes) {
+  std::map<std::string, document_change> newest;
+  for (document_change& each : changes) {
+    document_change& entry = newest[each.service];
+    if (each.version >= entry.version) entry = std::move(each);
+  }
+  std::vector<document_version> loaded;
+  for (const auto& [service, change] : newest) {
+    auto text = co_await repository_.LoadText(change.digest);
+    std::string bytes;
+    if (Ok(text)) {
+      bytes = std::move(Value(text));
+    } else if (Failure(text).kind != error_kind::kRefused) {
+      co_return Failure(text);
+    }
+    // A text that does not match its digest is handed on too, so that the board notes its refusal.
+    loaded.push_back({service, change.version, change.change, change.digest, std::move(bytes)});
+  }
+  co_return loaded;
+}
+
+}  // namespace catkinmoor
--- /dev/null
+++ b/src/store/repository_source.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "store/document_repository.h"
+#include "store/document_source.h"
+
+namespace catkinmoor {
+
+/// Reads accepted documents from the repository. Its position is the number of the last change.
+class repository_source : public document_source {
+ public:
+  explicit repository_source(document_repository& repository) : repository_(repository) {}
+
+  boost::asio::awaitable<result<source_update>> Await(std::uint64_t position,
+                                                      milliseconds wait) override;
+  bool HoldsCalls() const override { return false; }
+
+ private:
+  boost::asio::awaitable<result<std::vector<document_version>>> Load(
+      std::vector<document_change> changes);
+
+  document_repository& repository_;
+};
+
+}  // namespace catkinmoor
