Shed by the caller's objective; weigh paid links; keep link ports free

Change: a request that is not expected to meet its objective is turned away at once, with the time in which the queue drains; gates report times by route, entries keep them by class; links between regions cost a choice 60 ms, 200 ms for downloads.

links_process_test: a link listened on ports inside the range that the system hands out for outgoing connections, so beside load its port could be taken (shown by binding 39001 first: exit 1, "Address already in use"). Links now listen below that range; a test holds that.

--- a/buildscripts/fleet.sh
+++ b/buildscripts/fleet.sh
@@ -18,6 +18,9 @@
 fleet_links=0
 fleet_extra=""
 fleet_link_delay_ms=12
+# Links listen this much above the ports they lead to, region by region; all stay below the ports
+# that the system gives to outgoing connections.
+fleet_link_offset=3000
 
 fleet_link_rules() { # REGION_NUMBER
   local s rules=""
@@ -25,7 +28,7 @@
   for s in 0 1 2 3; do
     # The platform, in subnet 0, stands in the first region.
     ((s == $1 || (s == 0 && $1 == 1))) && continue
-    rules+="{\"prefix\": \"127.$s.\", \"port_offset\": $((10000 * $1))},"
+    rules+="{\"prefix\": \"127.$s.\", \"port_offset\": $((fleet_link_offset * $1))},"
   done
   printf '"links": [%s],' "$rules"
 }
@@ -33,7 +36,7 @@
 fleet_start_links() { # DIR BIN
   local r
   for r in 1 2 3; do
-    "$2/catkin_link" --port-offset $((10000 * r)) --port 9001,9002,9100 --delay-ms "$fleet_link_delay_ms" \
+    "$2/catkin_link" --port-offset $((fleet_link_offset * r)) --port 9001,9002,9100 --delay-ms "$fleet_link_delay_ms" \
       --control "127.0.0.1:920$r" > "$1/link$r.log" 2>&1 &
     echo $! > "$1/link$r.pid"
   done
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -29,6 +29,8 @@
   time_point deadline{};
   /// Rank among waiting requests, 0 first; -1 follows the class.
   std::int64_t priority = -1;
+  /// When an answer should be there to serve the caller fully; unset when nothing is said of it.
+  std::optional<time_point> objective;
 };
 
 /// What to do with a request now.
@@ -49,8 +51,10 @@
   friend bool operator==(const admission_release&, const admission_release&) = default;
 };
 
-/// Shares the target's slots among classes. Bookings come first and may wait until their deadline;
-/// the other classes are turned away as soon as the expected wait exceeds what is left of theirs.
+/// Shares the target's slots among classes. Requests with an objective are turned away as soon as
+/// they are not expected to meet it, so that work done late does not displace work done in time.
+/// Without one, bookings may wait until their deadline; the other classes are turned away when the
+/// expected wait exceeds what is left of theirs.
 /// A plain state machine: time comes in as an argument, and the caller holds the lock.
 class admission_queue {
  public:
@@ -78,8 +82,12 @@
   std::uint32_t Slots() const { return slots_; }
   std::uint32_t Queued() const;
 
-  /// Mean time that the target took for a request lately, in milliseconds.
-  double MeanServiceMs() const { return mean_service_ms_; }
+  /// Mean time that the target took for a route's requests lately, in milliseconds; that of all
+  /// routes while the route has none.
+  double ServiceMs(const std::string& route) const;
+
+  /// Time in which the waiting requests are expected to have got a slot, in milliseconds.
+  double BacklogMs() const;
 
  private:
   static constexpr std::size_t kClasses = 4;
@@ -88,11 +96,13 @@
   void Start(const admission_request& request);
   bool IsTooLate(const admission_request& request, time_point now) const;
   double ExpectedWaitMs(const admission_request& request) const;
+  bool CannotMeet(const admission_request& request, time_point now) const;
 
   std::uint32_t slots_ = 0;
   std::uint32_t in_use_ = 0;
   bool draining_ = false;
   double mean_service_ms_ = 0;
+  std::map<std::string, double> service_ms_by_route_;
   std::array<std::deque<admission_request>, kClasses> waiting_;
   std::map<std::string, std::int64_t> running_by_route_;
   std::map<std::string, std::int64_t> waiting_by_route_;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -62,6 +62,21 @@
   return mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
 }
 
+double admission_queue::ServiceMs(const std::string& route) const {
+  const auto found = service_ms_by_route_.find(route);
+  return found == service_ms_by_route_.end() ? mean_service_ms_ : found->second;
+}
+
+double admission_queue::BacklogMs() const {
+  return mean_service_ms_ * static_cast<double>(Queued() + 1) / std::max<double>(1, slots_);
+}
+
+bool admission_queue::CannotMeet(const admission_request& request, time_point now) const {
+  const double left_ms =
+      std::chrono::duration<double, std::milli>(*request.objective - now).count();
+  return ExpectedWaitMs(request) + ServiceMs(request.route) > left_ms;
+}
+
 bool admission_queue::IsTooLate(const admission_request& request, time_point now) const {
   if (request.deadline <= now) return true;
   if (request.kind == route_class::kBooking) return false;
@@ -84,6 +99,9 @@
   if (waiting_by_route_[request.route] >= request.queue) {
     return {admission::kRefuse, refusal::kQueueFull};
   }
+  if (request.objective && CannotMeet(request, now)) {
+    return {admission::kRefuse, refusal::kTooLate};
+  }
   const double left_ms = std::chrono::duration<double, std::milli>(request.deadline - now).count();
   const bool sheds = request.kind != route_class::kBooking;
   if (sheds && ExpectedWaitMs(request) + mean_service_ms_ > left_ms) {
@@ -103,6 +121,8 @@
   }
   const auto sample = static_cast<double>(service_time.count());
   mean_service_ms_ += kServiceTimeWeight * (sample - mean_service_ms_);
+  const auto [of_route, first] = service_ms_by_route_.try_emplace(route, sample);
+  if (!first) of_route->second += kServiceTimeWeight * (sample - of_route->second);
   return Advance(now);
 }
 
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -18,6 +18,7 @@
 
 /// What sort of work a route carries; decides the order of admission under load.
 enum class route_class { kBooking, kInternal, kBrowse, kDownload };
+inline constexpr std::size_t kRouteClasses = 4;
 
 /// Who may call a route.
 enum class caller_scope { kAny, kInternal };
--- a/src/load/internal/footprint.cc
+++ b/src/load/internal/footprint.cc
@@ -93,7 +93,7 @@
   const selection_context context{self.vm, self.region, self.data_centre, {}, Now(), 0};
   report.pick_us = MeanMicroseconds(kRounds * 100, [&](int) {
     const auto eligible = EligibleTargets(active->content, {}, members.TargetsOf(ServiceName(0)));
-    PickTarget(eligible, active->content, locality::kNearest, context, loads, random);
+    PickTarget(eligible, active->content, active->content.routes.front(), context, loads, random);
   });
   return report;
 }
--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -48,6 +48,8 @@
   void StartDaemon(const std::string& address);
   void StartTarget(const std::string& address, const std::string& service = "slotboard");
   void AwaitReady(const std::string& address);
+  /// The highest port on which a link listens.
+  int HighestLinkPort() const;
   void AwaitMembers(const std::string& address, std::size_t count);
   bool IsReady(const std::string& address) const;
 
@@ -109,6 +111,10 @@
   std::string LinkRules(const std::string& address) const;
   void StartLinks();
   std::string LinkControl(int region) const;
+
+  /// Each region's links listen this much above the ports that they lead to. All must stay below the
+  /// ports that the system gives to outgoing connections.
+  static constexpr int kLinkOffset = 3'000;
   pid_t Spawn(const std::vector<std::string>& arguments, const std::string& log);
   void WriteDaemonSettings(const std::string& address);
   void WriteTargetSettings(const std::string& address, const std::string& service);
--- a/src/process_tests/internal/fleet.cc
+++ b/src/process_tests/internal/fleet.cc
@@ -32,7 +32,6 @@
 constexpr milliseconds kCallTimeout{10'000};
 constexpr milliseconds kLook{20};
 constexpr std::uint16_t kEntryPort = 8080;
-constexpr int kLinkOffset = 10'000;
 constexpr std::uint16_t kAdministrationPort = 9003;
 
 bj::value ParseOrNull(const std::string& text) {
@@ -117,6 +116,8 @@
   return "127." + std::to_string(shape_.subnet) + ".0.1:9100";
 }
 
+int fleet::HighestLinkPort() const { return 9100 + kLinkOffset * shape_.regions; }
+
 std::string fleet::LinkControl(int region) const {
   return "127." + std::to_string(shape_.subnet) + ".0.1:" + std::to_string(9200 + region);
 }
--- a/src/process_tests/tests/links_test.cc
+++ b/src/process_tests/tests/links_test.cc
@@ -1,5 +1,7 @@
 // Promises while the links between regions fail.
 
+#include <fstream>
+
 #include "process_tests/fleet.h"
 
 #include <criterion/criterion.h>
@@ -19,6 +21,15 @@
 
 }  // namespace
 
+// A link whose port is taken by an outgoing connection cannot start.
+Test(links, of_every_region_listen_below_the_ports_that_the_system_hands_out) {
+  const fleet subject({.subnet = 150, .regions = 3, .vms = 2, .targets = false, .links = true});
+  std::ifstream file("/proc/sys/net/ipv4/ip_local_port_range");
+  int lowest = 0;
+  file >> lowest;
+  Expect(subject.HighestLinkPort() < lowest, "port " + std::to_string(subject.HighestLinkPort()));
+}
+
 Test(links, with_connections_gone_silent_let_every_request_through_once) {
   fleet subject({.subnet = 140,
                  .regions = 2,
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -15,6 +15,12 @@
 
 }  // namespace
 
+std::optional<milliseconds> attempt_sender::ObjectiveOf(const call_state& call) {
+  if (call.chosen->target_latency.count() == 0) return std::nullopt;
+  const auto spent = std::chrono::duration_cast<milliseconds>(Now() - call.started);
+  return call.chosen->target_latency - spent;
+}
+
 asio::awaitable<request_fate> attempt_sender::AskGate(member_record target, std::string attempt_id,
                                                       time_point sent_at, bool spare_waiting,
                                                       milliseconds time_left) {
@@ -42,7 +48,8 @@
           call.fingerprint,
           settings_.own_service,
           call.chosen->priority,
-          call.request_id};
+          call.request_id,
+          ObjectiveOf(call)};
 }
 
 asio::awaitable<attempt_result> attempt_sender::Try(entry_worker& worker, connection& caller,
@@ -229,6 +236,9 @@
     co_return;
   }
   attempt.reason = std::string(answer[kReasonHeader]);
+  const auto retry = answer[kRetryHeader];
+  const auto retry_ms = ParseNumber({retry.data(), retry.size()});
+  if (retry_ms) attempt.retry_after = milliseconds(*retry_ms);
   attempt.failure = {error_kind::kRefused, "gate", "", attempt.reason};
   if (outcome == kNotRun) {
     const bool load = attempt.reason == "queue-full" || attempt.reason == "too-late" ||
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -22,6 +22,8 @@
                                       member_record target, std::string attempt_id);
 
  private:
+  static std::optional<milliseconds> ObjectiveOf(const call_state& call);
+
   gate_call MakeGateCall(const call_state& call, const member_record& target,
                          const std::string& attempt_id) const;
 
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -29,8 +29,8 @@
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, board_.members.TargetsOf(call.service));
-    const member_ptr target = PickTarget(eligible, content, call.chosen->preference, context,
-                                         board_.loads, worker.random);
+    const member_ptr target = PickTarget(eligible, content, *call.chosen, context, board_.loads,
+                                         worker.random);
     if (target == nullptr) {
       if (GiveUp(state) == next_step::kSayUnknown) last.outcome = kUnknown;
       break;
@@ -43,7 +43,7 @@
     attempt_result attempt =
         co_await sender_.Try(worker, caller, parser, call, *target, attempt_id);
     if (attempt.caller_gone) co_return false;
-    NoteLoad(*target, attempt);
+    NoteLoad(call, *target, attempt);
     if (attempt.silent) {
       // The target itself may be well; a new connection to it can work.
       Count("catkinmoor_silent_connections_total", call);
@@ -77,7 +77,7 @@
       co_return co_await AnswerOwn(caller, parser, call, std::move(unknown));
     }
     const std::string reason = attempt.reason.empty() ? "not-reached" : attempt.reason;
-    last = {503, kNotRun, reason, std::move(attempt.failure)};
+    last = {503, kNotRun, reason, std::move(attempt.failure), attempt.retry_after};
     if (next == next_step::kSayNotRun) break;
   }
   co_return co_await AnswerOwn(caller, parser, call, std::move(last));
@@ -97,7 +97,8 @@
   return {self.vm, self.region, self.data_centre, {}, Now(), WallMilliseconds()};
 }
 
-void call_carrier::NoteLoad(const member_record& target, const attempt_result& attempt) {
+void call_carrier::NoteLoad(const call_state& call, const member_record& target,
+                            const attempt_result& attempt) {
   switch (attempt.outcome) {
     case attempt_outcome::kNotSent:
     case attempt_outcome::kLost:
@@ -117,7 +118,7 @@
   if (attempt.answer == nullptr) return;
   const auto text = attempt.answer->get()[kLoadHeader];
   const auto load = ParseLoad({text.data(), text.size()});
-  if (load) board_.loads.OnReport(target.vm, *load, Now());
+  if (load) board_.loads.OnReport(target.vm, call.chosen->kind, *load, Now());
 }
 
 asio::awaitable<bool> call_carrier::Deliver(entry_worker& worker, connection& caller,
@@ -185,8 +186,8 @@
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, board_.members.TargetsOf(call.service));
-    const member_ptr target = PickTarget(eligible, content, call.chosen->preference, context,
-                                         board_.loads, worker.random);
+    const member_ptr target = PickTarget(eligible, content, *call.chosen, context, board_.loads,
+                                         worker.random);
     if (target == nullptr) break;
     context.tried.insert(target->vm);
     call.resume_at = writer.body_bytes;
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -30,6 +30,8 @@
 inline constexpr const char* kQueueHeader = "x-catkinmoor-queue";
 inline constexpr const char* kFingerprintHeader = "x-catkinmoor-fingerprint";
 inline constexpr const char* kPriorityHeader = "x-catkinmoor-priority";
+inline constexpr const char* kObjectiveHeader = "x-catkinmoor-objective-ms";
+inline constexpr const char* kRetryHeader = "x-catkinmoor-retry-ms";
 inline constexpr const char* kRequestIdHeader = "x-request-id";
 
 /// Values of the outcome header.
@@ -65,6 +67,8 @@
   std::string caller_service;
   std::int64_t priority = -1;
   std::string request_id;
+  /// Time within which an answer serves the caller fully, if the route says so.
+  std::optional<milliseconds> objective;
 
   friend bool operator==(const gate_call&, const gate_call&) = default;
 };
@@ -91,6 +95,7 @@
   to.set(kQueueHeader, std::to_string(call.queue));
   to.set(kFingerprintHeader, call.fingerprint);
   if (!call.caller_service.empty()) to.set(kCallerHeader, call.caller_service);
+  if (call.objective) to.set(kObjectiveHeader, std::to_string(call.objective->count()));
   if (call.priority >= 0) to.set(kPriorityHeader, std::to_string(call.priority));
 }
 
@@ -106,6 +111,7 @@
   const auto deadline = ParseNumber(text(kLeftHeader));
   const auto concurrency = ParseNumber(text(kConcurrencyHeader));
   const auto queue = ParseNumber(text(kQueueHeader));
+  const auto objective = ParseNumber(text(kObjectiveHeader));
   const bool whole = incarnation && kind && deadline && concurrency && queue &&
                      !text(kAttemptHeader).empty() && !text(kServiceHeader).empty();
   if (!whole || *kind < 0 || *kind > static_cast<int>(route_class::kDownload)) return std::nullopt;
@@ -122,7 +128,8 @@
                    std::string(text(kFingerprintHeader)),
                    std::string(text(kCallerHeader)),
                    ParseNumber(text(kPriorityHeader)).value_or(-1),
-                   std::string(text(kRequestIdHeader))};
+                   std::string(text(kRequestIdHeader)),
+                   objective ? std::optional(milliseconds(*objective)) : std::nullopt};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -11,6 +11,10 @@
 
 namespace catkinmoor::proxy_internal {
 
+/// When a request is worth sending again if nothing better is known: news of a target that came or
+/// went takes less.
+inline constexpr milliseconds kRetryAfter{300};
+
 /// A caller's request on its way through the entry.
 struct call_state {
   std::string request_id;
@@ -52,6 +56,8 @@
   std::unique_ptr<response_parser> answer;
   std::string reason;
   error failure;
+  /// When the gate expects to have room again.
+  milliseconds retry_after = kRetryAfter;
 };
 
 /// An answer of our own that says that the request did not run.
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -228,6 +228,7 @@
     const time_point deadline = Now() + call.deadline;
     admission_request request{0,          call.kind, call.route,   call.concurrency,
                               call.queue, deadline,  call.priority};
+    if (call.objective) request.objective = Now() + *call.objective;
     const auto place = std::make_shared<slot_controller::place>(entry.stream.get_executor());
     admission_decision decision;
     {
@@ -236,8 +237,10 @@
     }
     if (decision.what == admission::kRefuse) {
       const std::string reason = RefusalName(decision.reason);
-      co_return co_await Refuse(entry, parser,
-                                NotRun(StatusFor(decision.reason), reason, "not admitted"));
+      own_answer refused = NotRun(StatusFor(decision.reason), reason, "not admitted");
+      refused.load = FormatLoad(slots_->Load(call.route));
+      refused.retry_after = slots_->RetryAfter();
+      co_return co_await Refuse(entry, parser, std::move(refused));
     }
     const slot_controller::lease slot(slots_, call.route);
     // The target may have changed while the call waited.
@@ -344,7 +347,7 @@
     }
     const bool reusable = parser->keep_alive();
     const milliseconds usable = IdleTimeOf(parser->get());
-    PrepareAnswer(*parser, keep);
+    PrepareAnswer(*parser, call.route, keep);
     transfer_outcome sent = transfer_outcome::kWhole;
     if (head) {
       sent = co_await SendHeader(entry, *parser);
@@ -449,14 +452,14 @@
     co_return failed ? transfer_outcome::kWriteFailed : transfer_outcome::kWhole;
   }
 
-  void PrepareAnswer(response_parser& parser, bool keep) const {
+  void PrepareAnswer(response_parser& parser, const std::string& route, bool keep) const {
     response_message& message = parser.get();
     const bool unframed = parser.need_eof();
     RemoveHopByHop(message);
     RemoveOwnHeaders(message);
     if (unframed) message.chunked(true);
     message.set(kOutcomeHeader, kRan);
-    message.set(kLoadHeader, FormatLoad(slots_->Load()));
+    message.set(kLoadHeader, FormatLoad(slots_->Load(route)));
     message.version(11);
     message.keep_alive(keep);
   }
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -11,6 +11,9 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 
+// About the time of one request; sooner there is no new room.
+constexpr milliseconds kLeastRetryAfter{100};
+
 }  // namespace
 
 slot_controller::lease::lease(std::shared_ptr<slot_controller> owner, std::string route)
@@ -64,10 +67,15 @@
   Release(queue_.Drain());
 }
 
-reported_load slot_controller::Load() const {
+milliseconds slot_controller::RetryAfter() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::max(kLeastRetryAfter, milliseconds(static_cast<std::int64_t>(queue_.BacklogMs())));
+}
+
+reported_load slot_controller::Load(const std::string& route) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return {queue_.InUse(), queue_.Slots(), queue_.Queued(),
-          static_cast<std::uint32_t>(queue_.MeanServiceMs())};
+          static_cast<std::uint32_t>(queue_.ServiceMs(route))};
 }
 
 void slot_controller::Finish(const std::string& route, milliseconds service_time) {
--- a/src/proxy/internal/slot_controller.h
+++ b/src/proxy/internal/slot_controller.h
@@ -50,8 +50,11 @@
   void SetSlots(std::uint32_t slots);
   void Drain();
 
-  /// Present use, for reports to entries.
-  reported_load Load() const;
+  /// Present use, for reports to entries on an answer of a route.
+  reported_load Load(const std::string& route) const;
+
+  /// When a request that was turned away for want of a slot is worth sending again.
+  milliseconds RetryAfter() const;
 
  private:
   void Finish(const std::string& route, milliseconds service_time);
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -191,6 +191,10 @@
   message.set(bhttp::field::content_type, "application/json");
   message.set(kOutcomeHeader, answer.outcome);
   if (!answer.reason.empty()) message.set(kReasonHeader, answer.reason);
+  if (!answer.load.empty()) {
+    message.set(kLoadHeader, answer.load);
+    message.set(kRetryHeader, std::to_string(answer.retry_after.count()));
+  }
   if (answer.status == 503 || answer.status == 429) {
     message.set(bhttp::field::retry_after, RetryAfter(answer.retry_after, fractional_retry_after));
   }
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -55,6 +55,8 @@
   error failure;
   /// When a request that was not run is worth sending again.
   milliseconds retry_after{1'000};
+  /// A gate's report of its load, for the entry alone.
+  std::string load;
 };
 
 /// Removes fields that concern one connection only, those listed in Connection included.
--- a/src/routing/internal/load_board.cc
+++ b/src/routing/internal/load_board.cc
@@ -23,11 +23,13 @@
   });
 }
 
-void load_board::OnReport(const std::string& vm, const reported_load& load, time_point now) {
+void load_board::OnReport(const std::string& vm, route_class kind, const reported_load& load,
+                          time_point now) {
   loads_.With(vm, [&](auto& entries) {
     target_load& entry = entries[vm];
     entry.reported = load;
     entry.reported_at = now;
+    if (load.service_ms > 0) entry.service_ms[static_cast<std::size_t>(kind)] = load.service_ms;
     return 0;
   });
 }
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -15,6 +15,11 @@
 /// Round trips by distance: within a data centre, a region, and between regions; usual figures of
 /// the users' networks, since only their differences matter.
 constexpr double kRoundTripMs[] = {0.4, 2.0, 24.0};
+constexpr int kBetweenRegions = 2;
+/// Links between regions are paid by volume: an answer must be this much sooner to be worth one, and
+/// more for the long answers of downloads.
+constexpr double kPaidLinkMs = 60;
+constexpr double kDownloadLinkMs = 200;
 /// Time of a target that has reported none yet.
 constexpr double kAssumedServiceMs = 100;
 /// How much a full target slows its requests down compared with an idle one.
@@ -60,34 +65,37 @@
 
 /// The time in which an answer is expected, in milliseconds: the way there and back, the time that
 /// the target takes, and the wait for a slot.
-double ExpectedMs(const member_record& member, const document& content,
+double ExpectedMs(const member_record& member, const document& content, route_class kind,
                   const selection_context& context, const load_board& loads) {
   const target_load load = loads.Get(member.vm);
   const bool fresh = context.now - load.reported_at < kReportAge;
   double work = load.outstanding;
-  double service_ms = kAssumedServiceMs;
   if (fresh) {
     work = std::max(work, static_cast<double>(load.reported.in_use + load.reported.queued));
-    if (load.reported.service_ms > 0) service_ms = load.reported.service_ms;
   }
+  const double known_ms = load.service_ms[static_cast<std::size_t>(kind)];
+  const double service_ms = known_ms > 0 ? known_ms : kAssumedServiceMs;
   const double slots =
       std::max<double>(1, member.target->slots) * WarmShare(member, content, context);
   const double full = (work + 1) / slots;
   const double crowding = kCrowdingWeight * std::min(full, 1.0) * std::min(full, 1.0);
   const double wait = std::max(0.0, full - kComfortableShare);
-  return kRoundTripMs[Distance(member, context)] + service_ms * (1 + crowding + wait);
+  const double link = kind == route_class::kDownload ? kDownloadLinkMs : kPaidLinkMs;
+  const int distance = Distance(member, context);
+  const double way = kRoundTripMs[distance] + (distance == kBetweenRegions ? link : 0);
+  return way + service_ms * (1 + crowding + wait);
 }
 
 /// The member whose answer is expected soonest. A little chance keeps choosers that see the same
 /// reports from turning to one target all at once.
 member_ptr SoonestOf(const std::vector<member_ptr>& from, const document& content,
-                     const selection_context& context, const load_board& loads,
+                     route_class kind, const selection_context& context, const load_board& loads,
                      std::mt19937_64& random) {
   std::uniform_real_distribution<double> chance(1 - kChance, 1 + kChance);
   member_ptr best;
   double least = 0;
   for (const member_ptr& each : from) {
-    const double expected = ExpectedMs(*each, content, context, loads) * chance(random);
+    const double expected = ExpectedMs(*each, content, kind, context, loads) * chance(random);
     if (best != nullptr && expected >= least) continue;
     best = each;
     least = expected;
@@ -141,8 +149,9 @@
 }
 
 member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
-                      locality preference, const selection_context& context,
+                      const route& chosen_route, const selection_context& context,
                       const load_board& loads, std::mt19937_64& random) {
+  const locality preference = chosen_route.preference;
   std::vector<member_ptr> healthy;
   std::vector<member_ptr> ejected;
   for (const member_ptr& each : eligible) {
@@ -154,7 +163,8 @@
   std::vector<member_ptr>& from = healthy.empty() ? ejected : healthy;
   if (from.empty()) return nullptr;
   if (preference == locality::kBalanced) {
-    return SoonestOf(SubsetFor(std::move(from), context.vm), content, context, loads, random);
+    return SoonestOf(SubsetFor(std::move(from), context.vm), content, chosen_route.kind, context,
+                     loads, random);
   }
   if (preference != locality::kAny) {
     int nearest = Distance(*from.front(), context);
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 
+#include "document/document.h"
 #include "framework/base/clock.h"
 #include "framework/base/sharded_map.h"
 
@@ -13,7 +15,7 @@
   std::uint32_t in_use = 0;
   std::uint32_t slots = 1;
   std::uint32_t queued = 0;
-  /// Mean time that the target takes for a request; 0 when unknown.
+  /// Mean time that the target takes for a request of the answer's route; 0 when unknown.
   std::uint32_t service_ms = 0;
 
   friend bool operator==(const reported_load&, const reported_load&) = default;
@@ -24,6 +26,8 @@
   std::uint32_t outstanding = 0;
   reported_load reported;
   time_point reported_at{};
+  /// Mean time for requests of each class as last reported, in milliseconds; 0 when unknown.
+  std::array<double, kRouteClasses> service_ms{};
   std::uint32_t failures_in_row = 0;
   time_point ejected_until{};
 };
@@ -33,7 +37,8 @@
  public:
   void OnSent(const std::string& vm);
   void OnEnded(const std::string& vm);
-  void OnReport(const std::string& vm, const reported_load& load, time_point now);
+  void OnReport(const std::string& vm, route_class kind, const reported_load& load,
+                time_point now);
 
   /// Notes that a vm could not be reached or broke off. Repeated failures keep it out of selection
   /// for a time that doubles up to a bound.
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -35,7 +35,7 @@
 /// answer is expected soonest. Targets already tried are left out, and those that failed lately are
 /// used only when nothing else is left. Null when there is none.
 member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
-                      locality preference, const selection_context& context,
+                      const route& chosen_route, const selection_context& context,
                       const load_board& loads, std::mt19937_64& random);
 
 }  // namespace catkinmoor
