--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -16,8 +16,6 @@
 using json::field;
 
 constexpr double kMostSlots = 100'000;
-// Departed instances that are remembered, so that a report that was held up does not revive one.
-constexpr std::size_t kDeparted = 64;
 
 /// The form in which a target announces itself.
 struct announcement_form {
@@ -85,49 +83,29 @@
     co_return Json(422, {{"error", json::Describe(*problems)}});
   }
   auto& [where, target] = std::get<std::pair<endpoint, target_announcement>>(parsed);
-  const report_outcome outcome = Announce({where, std::move(target), 0, 0});
+  report_stamp stamp{target.instance, 0, 0};
+  const report_outcome outcome = Announce({where, std::move(target), std::move(stamp)});
   if (outcome == report_outcome::kWithdrawn) {
     co_return Json(503, {{"error", "the daemon is stopping"}, {"active", gate_.Active()}});
   }
   co_return Json(200, {{"lease_ms", lease_.count()}, {"active", gate_.Active()}});
 }
 
-bool target_registration::IsOutdated(const target_report& report) const {
-  const std::string& instance = report.target.instance;
-  for (const auto& [gone, born_ms] : departed_) {
-    if (gone == instance && report.born_ms <= born_ms) return true;
-  }
-  if (!last_) return false;
-  if (report.born_ms != 0 && last_->born_ms != 0 && report.born_ms != last_->born_ms) {
-    return report.born_ms < last_->born_ms;
-  }
-  return instance == last_->target.instance && report.sequence < last_->sequence;
-}
-
 report_outcome target_registration::Announce(const target_report& report) {
   if (withdrawn_) return report_outcome::kWithdrawn;
-  if (IsOutdated(report)) {
+  if (!order_.Take(report.stamp)) {
     logging::Info("target report outdated",
-                  {{"instance", report.target.instance},
-                   {"sequence", static_cast<std::int64_t>(report.sequence)}});
+                  {{"instance", report.stamp.instance},
+                   {"sequence", static_cast<std::int64_t>(report.stamp.sequence)}});
     return report_outcome::kOutdated;
   }
-  const bool follows = last_ && last_->target.instance != report.target.instance;
-  if (follows) Remember(last_->target.instance, last_->born_ms);
-  last_ = report;
   SetTarget(report.where, report.target);
   Renew();
   return report_outcome::kTaken;
 }
 
-void target_registration::Remember(const std::string& instance, std::uint64_t born_ms) {
-  departed_.emplace_back(instance, born_ms);
-  if (departed_.size() > kDeparted) departed_.pop_front();
-}
-
 void target_registration::Depart(const std::string& instance) {
-  const bool known = last_ && last_->target.instance == instance;
-  Remember(instance, known ? last_->born_ms : 0);
+  order_.Depart(instance);
   if (!present_ || present_->instance != instance) return;
   logging::Info("target departed", {{"instance", instance}});
   ForgetTarget("departed");
--- a/src/daemon/target_registration.h
+++ b/src/daemon/target_registration.h
@@ -3,26 +3,22 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
 
+#include "daemon/report_order.h"
 #include "distribution/record_exchange.h"
 #include "framework/http/message.h"
 #include "proxy/gate_proxy.h"
 
 namespace catkinmoor {
 
-/// What a target says of itself at one moment. The instance differs for every start; where a start
-/// may keep the instance of an earlier one, the time of the start tells them apart.
+/// What a target says of itself at one moment.
 struct target_report {
   endpoint where;
   target_announcement target;
-  /// Unix milliseconds of the target's start, 0 when it does not say.
-  std::uint64_t born_ms = 0;
-  /// Rises with every report of one start, 0 when it does not say.
-  std::uint64_t sequence = 0;
+  report_stamp stamp;
 
   friend bool operator==(const target_report&, const target_report&) = default;
 };
@@ -58,10 +54,6 @@
   void Stop();
 
  private:
-  /// Whether a report is older than what is known.
-  bool IsOutdated(const target_report& report) const;
-
-  void Remember(const std::string& instance, std::uint64_t born_ms);
   void Renew();
   void SetTarget(const endpoint& where, target_announcement target);
   void ForgetTarget(const char* reason);
@@ -73,10 +65,7 @@
   boost::asio::steady_timer timer_;
   std::optional<target_announcement> present_;
   endpoint where_;
-  /// The newest report, kept when its target is forgotten.
-  std::optional<target_report> last_;
-  /// Instances that said good-bye or were followed by another, newest last.
-  std::deque<std::pair<std::string, std::uint64_t>> departed_;
+  report_order order_;
   bool withdrawn_ = false;
 };
 
--- a/src/distribution/internal/join_controller.cc
+++ b/src/distribution/internal/join_controller.cc
@@ -64,6 +64,8 @@
 
 asio::awaitable<void> join_controller::Join() {
   const member_record self = board_.self.Get();
+  // Peers that are met learn of this daemon by the comparison, which tells what its table holds.
+  exchange_.StateSelf();
   milliseconds pause = kFirstPause;
   while (!stopping_) {
     auto points = co_await ReadMeetingPoints();
--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -112,10 +112,10 @@
   void StartLinks();
   std::string LinkControl(int region) const;
 
-  /// Each region's links listen this much above the ports that they lead to. All must stay below the
-  /// ports that the system gives to outgoing connections.
+  /// Each region's links listen this much above the ports that they lead to. All must stay below
+  /// the ports that the system gives to outgoing connections.
   static constexpr int kLinkOffset = 3'000;
-  pid_t Spawn(const std::vector<std::string>& arguments, const std::string& log);
+  pid_t Spawn(const std::vector<std::string>& arguments, const std::string& log) const;
   void WriteDaemonSettings(const std::string& address);
   void WriteTargetSettings(const std::string& address, const std::string& service);
   std::string PlatformAddress() const;
@@ -147,6 +147,12 @@
 void Expect(bool holds, const std::string& message = "",
             boost::source_location place = BOOST_CURRENT_LOCATION);
 
+/// Starts a program with its output going to a file. Fails the test when it cannot be started.
+pid_t SpawnProcess(const std::vector<std::string>& arguments, const std::string& log_path);
+
+/// Waits for the end of a process and yields its exit code, or -signal.
+int AwaitProcessEnd(pid_t process);
+
 /// Sleeps between looks at a condition.
 void PauseBetweenLooks();
 
--- a/src/process_tests/internal/fleet.cc
+++ b/src/process_tests/internal/fleet.cc
@@ -40,12 +40,6 @@
   return failed ? bj::value() : parsed;
 }
 
-int EndOf(pid_t process) {
-  int status = 0;
-  if (::waitpid(process, &status, 0) != process) FailTest("cannot wait for a process");
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-}
-
 }  // namespace
 
 void FailTest(const std::string& message) { throw std::runtime_error(message); }
@@ -55,6 +49,12 @@
   FailTest(std::string(place.file_name()) + ":" + std::to_string(place.line()) + " " + message);
 }
 
+int AwaitProcessEnd(pid_t process) {
+  int status = 0;
+  if (::waitpid(process, &status, 0) != process) FailTest("cannot wait for a process");
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 void PauseBetweenLooks() { std::this_thread::sleep_for(kLook); }
 
 std::string SlotboardDocument(std::int64_t browse_deadline_ms, const std::string& extra_routes) {
@@ -94,15 +94,15 @@
   if (std::getenv("CATKINMOOR_KEEP") == nullptr) fs::remove_all(folder_, ignored);
 }
 
-pid_t fleet::Spawn(const std::vector<std::string>& arguments, const std::string& log) {
+pid_t SpawnProcess(const std::vector<std::string>& arguments, const std::string& log_path) {
   std::vector<char*> raw;
   raw.reserve(arguments.size() + 1);
   for (const std::string& each : arguments) raw.push_back(const_cast<char*>(each.c_str()));
   raw.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  const std::string path = folder_ + "/" + log;
-  posix_spawn_file_actions_addopen(&actions, 2, path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_addopen(&actions, 2, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   0600);
   posix_spawn_file_actions_adddup2(&actions, 2, 1);
   pid_t process = 0;
   const int failed =
@@ -112,6 +112,10 @@
   return process;
 }
 
+pid_t fleet::Spawn(const std::vector<std::string>& arguments, const std::string& log) const {
+  return SpawnProcess(arguments, folder_ + "/" + log);
+}
+
 std::string fleet::PlatformAddress() const {
   return "127." + std::to_string(shape_.subnet) + ".0.1:9100";
 }
@@ -229,13 +233,13 @@
 }
 
 int fleet::AwaitDaemonEnd(const std::string& address) {
-  const int end = EndOf(daemons_.at(address));
+  const int end = AwaitProcessEnd(daemons_.at(address));
   daemons_.erase(address);
   return end;
 }
 
 int fleet::AwaitTargetEnd(const std::string& address) {
-  const int end = EndOf(targets_.at(address));
+  const int end = AwaitProcessEnd(targets_.at(address));
   targets_.erase(address);
   return end;
 }
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -76,7 +76,7 @@
   }
   const bool sent = attempt.outcome == attempt_outcome::kLost && attempt.answer == nullptr;
   if (sent && !attempt.caller_gone) {
-    const auto wait = WatchSilence(attempt, target, attempt_id, Now());
+    const auto wait = WatchSilence(call, attempt, target, attempt_id, Now());
     co_await ReadAnswer(caller, call, attempt);
     wait->active = false;
     wait->timer.cancel();
@@ -88,13 +88,19 @@
   co_return attempt;
 }
 
-std::shared_ptr<answer_wait> attempt_sender::WatchSilence(const attempt_result& attempt,
+std::shared_ptr<answer_wait> attempt_sender::WatchSilence(const call_state& call,
+                                                          const attempt_result& attempt,
                                                           const member_record& target,
                                                           const std::string& attempt_id,
                                                           time_point sent_at) {
   auto wait = std::make_shared<answer_wait>(attempt.gate->stream.get_executor());
   wait->gate = attempt.gate.get();
-  wait->timer.expires_after(settings_.silence_check);
+  wait->gives_up = call.chosen->repeatable && !call.streams;
+  // A route's objective tells how long its answers usually take at most.
+  const milliseconds objective = call.chosen->target_latency;
+  const bool states_one = objective.count() > 0;
+  wait->timer.expires_after(states_one ? std::min(objective, settings_.silence_check)
+                                       : settings_.silence_check);
   wait->timer.async_wait(
       [this, wait, target, attempt_id, sent_at](const beast::error_code& failed) {
         if (failed || !wait->active) return;
@@ -109,7 +115,8 @@
                                                      time_point sent_at) {
   bool answered_before = false;
   while (wait->active) {
-    const request_fate fate = co_await AskGate(target, attempt_id, sent_at, true, settings_.fence_timeout);
+    const request_fate fate =
+        co_await AskGate(target, attempt_id, sent_at, true, settings_.fence_timeout);
     if (!wait->active) co_return;
     const bool answered = fate == request_fate::kAnswered;
     // An answer may have been on its way when the gate was asked first.
@@ -118,6 +125,13 @@
       wait->gate->stream.cancel();
       co_return;
     }
+    if (fate == request_fate::kUnknown && wait->gives_up) {
+      // Neither connection yields a word: the gate is gone or cut off, and the request may be
+      // repeated elsewhere.
+      wait->unheard = true;
+      wait->gate->stream.cancel();
+      co_return;
+    }
     answered_before = answered;
     wait->timer.expires_after(settings_.silence_check);
     co_await wait->timer.async_wait(kAwait);
@@ -125,6 +139,11 @@
 }
 
 void attempt_sender::TakeVerdict(const answer_wait& wait, attempt_result& attempt) {
+  if (wait.unheard && attempt.answer == nullptr) {
+    attempt.caller_gone = false;
+    attempt.gate_asked = true;
+    attempt.reason = "unheard";
+  }
   if (wait.verdict == request_fate::kUnknown || attempt.answer != nullptr) return;
   attempt.silent = true;
   attempt.gate_asked = true;
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -29,7 +29,7 @@
 
   /// Has the gate asked about an attempt for as long as no answer comes. The connection may have
   /// gone silent while others work.
-  std::shared_ptr<answer_wait> WatchSilence(const attempt_result& attempt,
+  std::shared_ptr<answer_wait> WatchSilence(const call_state& call, const attempt_result& attempt,
                                             const member_record& target,
                                             const std::string& attempt_id, time_point sent_at);
 
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -11,8 +11,7 @@
 constexpr int kResumes = 3;
 
 milliseconds LeftOf(const call_state& call) {
-  return std::max(milliseconds(0),
-                  std::chrono::duration_cast<milliseconds>(call.deadline - Now()));
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(call.deadline - Now()));
 }
 
 }  // namespace
@@ -29,13 +28,15 @@
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, board_.members.TargetsOf(call.service));
-    const member_ptr target = PickTarget(eligible, content, *call.chosen, context, board_.loads,
-                                         worker.random);
+    const member_ptr target =
+        PickTarget(eligible, content, *call.chosen, context, board_.loads, worker.random);
     if (target == nullptr) {
       if (GiveUp(state) == next_step::kSayUnknown) last.outcome = kUnknown;
       break;
     }
     context.tried.insert(target->vm);
+    // Nothing watched the caller's connection between two attempts.
+    if (state.attempts_made > 0 && !call.streams && IsClosed(caller)) co_return false;
     ++state.attempts_made;
     if (state.attempts_made > 1) Count("catkinmoor_retries_total", call);
     const std::string attempt_id = RandomId();
@@ -59,8 +60,8 @@
     if (poison && next == next_step::kTryAnother) next = next_step::kSayUnknown;
     if (next == next_step::kAskGate) {
       Count("catkinmoor_fences_total", call);
-      const request_fate fate = co_await sender_.AskGate(*target, attempt_id, sent_at, false,
-                                                           LeftOf(call));
+      const request_fate fate =
+          co_await sender_.AskGate(*target, attempt_id, sent_at, false, LeftOf(call));
       state.gate_asked = true;
       if (fate == request_fate::kNeverHanded) attempt.outcome = attempt_outcome::kFencedNotRun;
       next = Decide(call, state, attempt.outcome);
@@ -186,8 +187,8 @@
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, board_.members.TargetsOf(call.service));
-    const member_ptr target = PickTarget(eligible, content, *call.chosen, context, board_.loads,
-                                         worker.random);
+    const member_ptr target =
+        PickTarget(eligible, content, *call.chosen, context, board_.loads, worker.random);
     if (target == nullptr) break;
     context.tried.insert(target->vm);
     call.resume_at = writer.body_bytes;
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -43,6 +43,9 @@
   connection* gate = nullptr;
   bool active = true;
   request_fate verdict = request_fate::kUnknown;
+  /// Whether the attempt is given up when the gate cannot be asked either.
+  bool gives_up = false;
+  bool unheard = false;
 };
 
 /// How an attempt ended, with what is needed to deliver its answer.
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -16,8 +16,8 @@
 /// the users' networks, since only their differences matter.
 constexpr double kRoundTripMs[] = {0.4, 2.0, 24.0};
 constexpr int kBetweenRegions = 2;
-/// Links between regions are paid by volume: an answer must be this much sooner to be worth one, and
-/// more for the long answers of downloads.
+/// Links between regions are paid by volume: an answer must be this much sooner to be worth one,
+/// and more for the long answers of downloads.
 constexpr double kPaidLinkMs = 60;
 constexpr double kDownloadLinkMs = 200;
 /// Time of a target that has reported none yet.
@@ -88,8 +88,8 @@
 
 /// The member whose answer is expected soonest. A little chance keeps choosers that see the same
 /// reports from turning to one target all at once.
-member_ptr SoonestOf(const std::vector<member_ptr>& from, const document& content,
-                     route_class kind, const selection_context& context, const load_board& loads,
+member_ptr SoonestOf(const std::vector<member_ptr>& from, const document& content, route_class kind,
+                     const selection_context& context, const load_board& loads,
                      std::mt19937_64& random) {
   std::uniform_real_distribution<double> chance(1 - kChance, 1 + kChance);
   member_ptr best;
@@ -135,8 +135,7 @@
   return eligible;
 }
 
-route_split DrawSplit(const document& content, const route& chosen_route,
-                      std::mt19937_64& random) {
+route_split DrawSplit(const document& content, const route& chosen_route, std::mt19937_64& random) {
   if (chosen_route.splits.empty()) return {{}, 1, content.service};
   std::vector<double> weights;
   for (const route_split& each : chosen_route.splits) {
@@ -157,7 +156,8 @@
   for (const member_ptr& each : eligible) {
     if (context.tried.contains(each->vm)) continue;
     if (preference == locality::kRegion && each->region != context.region) continue;
-    const bool out = loads.Get(each->vm).ejected_until > context.now;
+    const bool out = loads.Get(each->vm).ejected_until > context.now ||
+                     each->version.state == member_state::kSuspect;
     (out ? ejected : healthy).push_back(each);
   }
   std::vector<member_ptr>& from = healthy.empty() ? ejected : healthy;
