Log each failed attempt, refusal and own answer with what decided it

One line at the entry for an attempt without an answer (target, reason, load and its age, what follows) and for each answer of the daemon's own (route, version, time spent, when to come back), one at the gate for a refusal (slots, queue) and a call that its target lost. Served requests cost no line.

--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -89,9 +89,8 @@
   if (draining_) return {admission::kRefuse, refusal::kDraining};
   if (slots_ == 0) return {admission::kRefuse, refusal::kNoTarget};
   if (request.deadline <= now) return {admission::kRefuse, refusal::kTooLate};
-  const bool line_is_empty =
-      std::all_of(waiting_.begin(), waiting_.begin() + Rank(request) + 1,
-                  [](const auto& line) { return line.empty(); });
+  const bool line_is_empty = std::all_of(waiting_.begin(), waiting_.begin() + Rank(request) + 1,
+                                         [](const auto& line) { return line.empty(); });
   if (line_is_empty && CanRun(request)) {
     Start(request);
     return {admission::kRun, refusal::kNone};
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -132,8 +132,8 @@
             [this](http::request message) { return administration_.Answer(std::move(message)); }),
         local_server_(control_, {},
                       [this](http::request message) { return Register(std::move(message)); }),
-        readiness_server_(
-            control_, {}, [this](http::request message) { return Readiness(std::move(message)); }),
+        readiness_server_(control_, {},
+                          [this](http::request message) { return Readiness(std::move(message)); }),
         peer_server_(control_, *this),
         signals_(control_, SIGTERM, SIGINT),
         reload_signal_(control_, SIGHUP) {}
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -13,8 +13,8 @@
 namespace catkinmoor {
 
 /// Reads the source on behalf of a region: a small read, or one that the source holds back, tells
-/// that nothing has changed. Failures lengthen the pause, with jitter, so that a platform that comes
-/// back is not met by a storm.
+/// that nothing has changed. Failures lengthen the pause, with jitter, so that a platform that
+/// comes back is not met by a storm.
 class source_controller {
  public:
   source_controller(boost::asio::io_context& context, distribution_board board,
--- a/src/framework/logging/internal/line_writer.cc
+++ b/src/framework/logging/internal/line_writer.cc
@@ -72,8 +72,9 @@
       lines_.clear();
       queued_bytes_ = 0;
       if (dropped_ > reported_) {
-        batch += "{\"event\":\"log lines dropped\",\"count\":" +
-                 std::to_string(dropped_ - reported_) + "}\n";
+        batch +=
+            "{\"event\":\"log lines dropped\",\"count\":" + std::to_string(dropped_ - reported_) +
+            "}\n";
         reported_ = dropped_;
       }
     }
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -10,6 +10,48 @@
 
 constexpr int kResumes = 3;
 
+std::int64_t VersionOf(const call_state& call) {
+  return call.content == nullptr ? 0 : static_cast<std::int64_t>(call.content->source.version);
+}
+
+void LogOwnAnswer(const call_state& call, const own_answer& answer) {
+  const auto spent = std::chrono::duration_cast<milliseconds>(Now() - call.started);
+  logging::Info("request not served",
+                {{"request", call.request_id},
+                 {"status", static_cast<std::int64_t>(answer.status)},
+                 {"outcome", answer.outcome},
+                 {"reason", answer.reason},
+                 {"step", answer.failure.step},
+                 {"peer", answer.failure.peer},
+                 {"message", answer.failure.message},
+                 {"service", call.service},
+                 {"route", call.chosen == nullptr ? std::string_view() : call.chosen->name},
+                 {"version", VersionOf(call)},
+                 {"spent_ms", spent.count()},
+                 {"retry_after_ms", answer.retry_after.count()}});
+}
+
+/// Tells why an attempt yielded no answer, and what follows.
+void LogAttempt(const call_state& call, const member_record& target, const std::string& attempt_id,
+                const attempt_result& attempt, next_step next, const target_load& load,
+                time_point sent_at) {
+  const auto age = std::chrono::duration_cast<milliseconds>(sent_at - load.reported_at);
+  const bool reported = load.reported_at != time_point{};
+  logging::Info("attempt failed", {{"request", call.request_id},
+                                   {"attempt", attempt_id},
+                                   {"vm", target.vm},
+                                   {"instance", target.target->instance},
+                                   {"outcome", OutcomeName(attempt.outcome)},
+                                   {"reason", attempt.reason},
+                                   {"step", attempt.failure.step},
+                                   {"message", attempt.failure.message},
+                                   {"next", StepName(next)},
+                                   {"load_in_use", static_cast<std::int64_t>(load.reported.in_use)},
+                                   {"load_queued", static_cast<std::int64_t>(load.reported.queued)},
+                                   {"load_age_ms", reported ? age.count() : -1},
+                                   {"version", VersionOf(call)}});
+}
+
 milliseconds LeftOf(const call_state& call) {
   return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(call.deadline - Now()));
 }
@@ -41,6 +83,7 @@
     if (state.attempts_made > 1) Count("catkinmoor_retries_total", call);
     const std::string attempt_id = RandomId();
     const time_point sent_at = Now();
+    const target_load load = board_.loads.Get(target->vm);
     attempt_result attempt =
         co_await sender_.Try(worker, caller, parser, call, *target, attempt_id);
     if (attempt.caller_gone) co_return false;
@@ -66,6 +109,9 @@
       if (fate == request_fate::kNeverHanded) attempt.outcome = attempt_outcome::kFencedNotRun;
       next = Decide(call, state, attempt.outcome);
     }
+    if (next != next_step::kDeliver) {
+      LogAttempt(call, *target, attempt_id, attempt, next, load, sent_at);
+    }
     if (next == next_step::kDeliver) {
       co_return co_await Deliver(worker, caller, parser, call, std::move(context), *target,
                                  std::move(attempt));
@@ -215,14 +261,7 @@
 asio::awaitable<bool> call_carrier::AnswerOwn(connection& caller, request_parser& parser,
                                               const call_state& call, own_answer answer) {
   Record(call, answer.status, answer.outcome);
-  if (answer.status >= 500) {
-    logging::Info("request not served", {{"request", call.request_id},
-                                         {"service", call.service},
-                                         {"outcome", answer.outcome},
-                                         {"reason", answer.reason},
-                                         {"step", answer.failure.step},
-                                         {"peer", answer.failure.peer}});
-  }
+  LogOwnAnswer(call, answer);
   bool whole = false;
   if (!call.caller_expects) {
     whole = co_await DropBody(caller, parser, settings_.progress_timeout);
--- a/src/proxy/internal/call_carrier.h
+++ b/src/proxy/internal/call_carrier.h
@@ -27,8 +27,7 @@
 
   selection_context MakeContext() const;
 
-  void NoteLoad(const call_state& call, const member_record& target,
-                const attempt_result& attempt);
+  void NoteLoad(const call_state& call, const member_record& target, const attempt_result& attempt);
 
   /// Sends a target's answer on to the caller.
   asio::awaitable<bool> Deliver(entry_worker& worker, connection& caller, request_parser& parser,
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -147,7 +147,8 @@
     const std::string& mesh = settings_.mesh_document;
     call.service = mesh.empty() ? host.substr(0, host.find('.')) : mesh;
     if (side == entry_side::kTarget) call.depth = NumberIn(message, kDepthHeader, 0);
-    const std::int64_t given = NumberIn(message, settings_.dialect.deadline_header.c_str(), INT64_MAX);
+    const std::int64_t given =
+        NumberIn(message, settings_.dialect.deadline_header.c_str(), INT64_MAX);
     call.request_id = std::string(message[kRequestIdHeader]);
     if (call.request_id.empty() || call.request_id.size() > kRequestIdLength) {
       call.request_id = RandomId();
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -190,9 +190,24 @@
     return target_;
   }
 
+  void LogRefusal(const request_message& message, const std::string& reason,
+                  const std::string& detail) const {
+    board_.metrics.Count("catkinmoor_gate_refusals_total", {{"reason", reason}});
+    const auto id = message[kRequestIdHeader];
+    const auto attempt = message[kAttemptHeader];
+    const reported_load load = slots_->Load("");
+    logging::Info("call refused", {{"request", std::string_view(id.data(), id.size())},
+                                   {"attempt", std::string_view(attempt.data(), attempt.size())},
+                                   {"reason", reason},
+                                   {"message", detail},
+                                   {"in_use", static_cast<std::int64_t>(load.in_use)},
+                                   {"slots", static_cast<std::int64_t>(load.slots)},
+                                   {"queued", static_cast<std::int64_t>(load.queued)}});
+  }
+
   /// Refuses a call, and keeps the connection where its body is short enough to be read past.
   asio::awaitable<bool> Refuse(connection& entry, request_parser& parser, own_answer answer) {
-    board_.metrics.Count("catkinmoor_gate_refusals_total", {{"reason", answer.reason}});
+    LogRefusal(parser.get(), answer.reason, answer.failure.message);
     const bool head = parser.get().method() == bhttp::verb::head;
     const bool waiting = !parser.get()[bhttp::field::expect].empty();
     bool whole = false;
@@ -343,6 +358,11 @@
         }
       }
       board_.metrics.Count("catkinmoor_gate_lost_total", {{"reason", lost.reason}});
+      logging::Warning("call lost by the target", {{"request", call.request_id},
+                                                   {"attempt", call.attempt},
+                                                   {"instance", call.instance},
+                                                   {"reason", lost.reason},
+                                                   {"message", lost.failure.message}});
       co_return co_await SendOwnAnswer(entry, lost, keep, head, settings_.progress_timeout);
     }
     const bool reusable = parser->keep_alive();
@@ -402,8 +422,8 @@
   bool TurnedAway(const response_message& answer) const {
     const wire_dialect& dialect = settings_.dialect;
     const bool misdirected = answer.result_int() == 421 && !dialect.instance_header.empty();
-    return misdirected || (!dialect.not_run_header.empty() &&
-                           answer.find(dialect.not_run_header) != answer.end());
+    return misdirected ||
+           (!dialect.not_run_header.empty() && answer.find(dialect.not_run_header) != answer.end());
   }
 
   /// Whether an answer cannot be what the target meant to send.
@@ -419,6 +439,7 @@
   asio::awaitable<bool> PassRefusal(std::size_t worker, connection& entry, connection_ptr backend,
                                     endpoint where, response_parser& answer, bool head, bool keep) {
     const unsigned status = answer.get().result_int();
+    const std::string id(answer.get()[kRequestIdHeader]);
     const bool reusable = answer.keep_alive() && !answer.need_eof();
     const milliseconds usable = IdleTimeOf(answer.get());
     std::string dropped;
@@ -430,6 +451,9 @@
     if (whole) pools_[worker].Return(where, std::move(backend), usable);
     const std::string reason = status == 421 ? "other-target" : kTargetRefused;
     board_.metrics.Count("catkinmoor_gate_refusals_total", {{"reason", reason}});
+    logging::Info("target turned a call away", {{"request", std::string_view(id.data(), id.size())},
+                                                {"reason", reason},
+                                                {"status", static_cast<std::int64_t>(status)}});
     own_answer refused = NotRun(503, reason, "the target answered " + std::to_string(status));
     co_return co_await SendOwnAnswer(entry, refused, keep, head, settings_.progress_timeout);
   }
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -22,7 +22,8 @@
 constexpr milliseconds kUnstatedIdle{4'000};
 // Taken off a stated idle time, which is whole seconds and counts from the peer's side.
 constexpr milliseconds kIdleMargin{1'000};
-// A peer that acknowledges nothing for so long is cut off; links answer within tens of milliseconds.
+// A peer that acknowledges nothing for so long is cut off; links answer within tens of
+// milliseconds.
 constexpr int kUnacknowledgedMs = 1'500;
 // Probes of an idle or waiting connection, in seconds; together they find a dead peer in two.
 constexpr int kProbeSeconds = 1;
--- a/src/routing/internal/retry_policy.cc
+++ b/src/routing/internal/retry_policy.cc
@@ -18,8 +18,41 @@
 
 }  // namespace
 
-void retry_budget::Refill(bucket& of, const retry_budget_settings& settings,
-                          time_point now) const {
+const char* OutcomeName(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::kAnswered:
+      return "answered";
+    case attempt_outcome::kNotSent:
+      return "not-sent";
+    case attempt_outcome::kRefused:
+      return "refused";
+    case attempt_outcome::kRefusedByLoad:
+      return "refused-by-load";
+    case attempt_outcome::kFencedNotRun:
+      return "fenced";
+    case attempt_outcome::kLost:
+      break;
+  }
+  return "lost";
+}
+
+const char* StepName(next_step step) {
+  switch (step) {
+    case next_step::kDeliver:
+      return "deliver";
+    case next_step::kTryAnother:
+      return "try-another";
+    case next_step::kAskGate:
+      return "ask-gate";
+    case next_step::kSayNotRun:
+      return "say-not-run";
+    case next_step::kSayUnknown:
+      break;
+  }
+  return "say-unknown";
+}
+
+void retry_budget::Refill(bucket& of, const retry_budget_settings& settings, time_point now) const {
   if (of.refilled == time_point{}) {
     of.tokens = settings.least_per_second;
   } else {
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -37,8 +37,7 @@
  public:
   void OnSent(const std::string& vm);
   void OnEnded(const std::string& vm);
-  void OnReport(const std::string& vm, route_class kind, const reported_load& load,
-                time_point now);
+  void OnReport(const std::string& vm, route_class kind, const reported_load& load, time_point now);
 
   /// Notes that a vm could not be reached or broke off. Repeated failures keep it out of selection
   /// for a time that doubles up to a bound.
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -23,6 +23,10 @@
 /// What to do after an attempt.
 enum class next_step { kDeliver, kTryAnother, kAskGate, kSayNotRun, kSayUnknown };
 
+/// Names for logs.
+const char* OutcomeName(attempt_outcome outcome);
+const char* StepName(next_step step);
+
 /// What the decision depends on.
 struct attempt_state {
   attempt_outcome outcome = attempt_outcome::kAnswered;
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -27,8 +27,7 @@
                                         const std::vector<member_ptr>& announced);
 
 /// Draws one of the route's splits by weight, its service filled in.
-route_split DrawSplit(const document& content, const route& chosen_route,
-                      std::mt19937_64& random);
+route_split DrawSplit(const document& content, const route& chosen_route, std::mt19937_64& random);
 
 /// Picks a target: by default the nearest place that has one, there the better of two random
 /// choices on outstanding work and load reported on answers; with balanced locality the one whose
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -115,11 +115,13 @@
   std::mt19937_64 random(1);
   selection_context context = From("puget", "p1");
   for (const char* expected : {"a", "b", "c"}) {
-    const auto chosen = PickTarget(eligible, content, content.routes.front(), context, loads, random);
+    const auto chosen =
+        PickTarget(eligible, content, content.routes.front(), context, loads, random);
     cr_assert(chosen->vm == expected);
     context.tried.insert(chosen->vm);
   }
-  cr_assert(PickTarget(eligible, content, content.routes.front(), context, loads, random) == nullptr);
+  cr_assert(PickTarget(eligible, content, content.routes.front(), context, loads, random) ==
+            nullptr);
 }
 
 Test(pick_target, with_one_target_failing_sends_little_to_it) {
@@ -130,7 +132,8 @@
   const selection_context context = From("puget", "p1");
   loads.OnFailure("a", context.now);
   for (int i = 0; i < 50; ++i) {
-    cr_assert(PickTarget(eligible, content, content.routes.front(), context, loads, random)->vm == "b");
+    cr_assert(PickTarget(eligible, content, content.routes.front(), context, loads, random)->vm ==
+              "b");
   }
 }
 
