Let others remember a target's leaving for a daemon that restarts

A new process knew nothing of the acknowledgement and believed a heartbeat that had been held up on the way; the store was away, so it could not have kept it. A good-bye to a daemon that had heard no heartbeat named no start either, so any later heartbeat of that instance counted. Change: a member's record carries the start that left last; the daemon waits, for 400 ms at most, until a neighbour holds it before it acknowledges; a restarted daemon is told its past by the peer it meets. A good-bye without a time of start ends every start up to now. If every daemon dies within those milliseconds the memory is lost still.

The caller's connection is now looked at before the first attempt as before the others.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -146,6 +146,7 @@
     signals_.async_wait([this](const boost::system::error_code& failed, int) {
       if (!failed) BeginStop();
     });
+    exchange_.SetPastListener([this](const member_record& past) { target_.Recall(past); });
     AwaitReload();
     if (settings_.reload_check.count() > 0) {
       asio::co_spawn(control_, CheckForReload(), asio::detached);
--- a/src/daemon/internal/report_order.cc
+++ b/src/daemon/internal/report_order.cc
@@ -23,9 +23,12 @@
   return true;
 }
 
-void report_order::Depart(const std::string& instance) {
-  const bool known = last_ && last_->instance == instance;
-  Remember(instance, known ? last_->born_ms : 0);
+void report_order::Depart(const std::string& instance, std::uint64_t born_ms) {
+  Remember(instance, born_ms);
+}
+
+std::uint64_t report_order::BornOf(const std::string& instance) const {
+  return last_ && last_->instance == instance ? last_->born_ms : 0;
 }
 
 void report_order::Remember(const std::string& instance, std::uint64_t born_ms) {
--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -16,6 +16,8 @@
 using json::field;
 
 constexpr double kMostSlots = 100'000;
+// A target waits about a second for its acknowledgement; neighbours answer within milliseconds.
+constexpr milliseconds kSettleTime{400};
 
 /// The form in which a target announces itself.
 struct announcement_form {
@@ -84,7 +86,9 @@
   }
   auto& [where, target] = std::get<std::pair<endpoint, target_announcement>>(parsed);
   report_stamp stamp{target.instance, 0, 0};
+  const bool leaves = target.state == target_state::kLeaving;
   const report_outcome outcome = Announce({where, std::move(target), std::move(stamp)});
+  if (leaves) co_await SettleDeparture();
   if (outcome == report_outcome::kWithdrawn) {
     co_return Json(503, {{"error", "the daemon is stopping"}, {"active", gate_.Active()}});
   }
@@ -100,15 +104,45 @@
     return report_outcome::kOutdated;
   }
   SetTarget(report.where, report.target);
+  if (report.target.state == target_state::kLeaving && report.stamp.born_ms != 0) {
+    StateDeparted(report.stamp.instance, report.stamp.born_ms);
+  }
   Renew();
   return report_outcome::kTaken;
 }
 
-void target_registration::Depart(const std::string& instance) {
-  order_.Depart(instance);
-  if (!present_ || present_->instance != instance) return;
+void target_registration::Depart(const std::string& instance, std::uint64_t born_ms) {
+  if (born_ms == 0) born_ms = order_.BornOf(instance);
+  if (born_ms == 0) born_ms = WallMilliseconds();
+  order_.Depart(instance, born_ms);
   logging::Info("target departed", {{"instance", instance}});
-  ForgetTarget("departed");
+  StateDeparted(instance, born_ms);
+  if (present_ && present_->instance == instance) ForgetTarget("departed");
+}
+
+void target_registration::StateDeparted(const std::string& instance, std::uint64_t born_ms) {
+  const departed_target departed{instance, born_ms};
+  if (self_.Get().departed == departed) return;
+  self_.Update([&](member_record& record) { record.departed = departed; });
+  exchange_.StateSelf();
+}
+
+asio::awaitable<void> target_registration::SettleDeparture() {
+  const bool shared = co_await exchange_.ShareSelf(kSettleTime);
+  if (!shared) logging::Warning("departure not shared", {{"step", "settle departure"}});
+}
+
+void target_registration::Recall(const member_record& past) {
+  if (!past.departed) return;
+  const auto& [instance, born_ms] = *past.departed;
+  order_.Depart(instance, born_ms);
+  const member_record self = self_.Get();
+  if (self.departed || past.version.incarnation >= self.version.incarnation) return;
+  logging::Info("target departed before the restart", {{"instance", instance}});
+  StateDeparted(instance, born_ms);
+  const bool believed = present_ && present_->state == target_state::kReady &&
+                        present_->instance == instance && order_.BornOf(instance) <= born_ms;
+  if (believed) ForgetTarget("departed");
 }
 
 void target_registration::NoteUnreachable(const std::string& instance) {
--- a/src/daemon/report_order.h
+++ b/src/daemon/report_order.h
@@ -27,8 +27,12 @@
   /// Whether a report is newer than all that is known. If so, it becomes what is known.
   bool Take(const report_stamp& report);
 
-  /// Notes that an instance has said good-bye; no later report of that start counts.
-  void Depart(const std::string& instance);
+  /// Notes that a start has said good-bye; no later report of it counts, nor of starts before it
+  /// under the same name.
+  void Depart(const std::string& instance, std::uint64_t born_ms);
+
+  /// When a start under a name was born as far as is known, 0 otherwise.
+  std::uint64_t BornOf(const std::string& instance) const;
 
  private:
   /// Departed starts that are remembered; far more than follow each other in the time that a report
--- a/src/daemon/target_registration.h
+++ b/src/daemon/target_registration.h
@@ -43,8 +43,16 @@
   /// Takes one report. A target that leaves gets no new work from the moment this returns.
   report_outcome Announce(const target_report& report);
 
-  /// Notes that an instance has said good-bye; nothing it says later brings it back.
-  void Depart(const std::string& instance);
+  /// Notes that an instance has said good-bye; nothing that this start said brings it back. Without
+  /// the time of its start, every start up to now counts as departed.
+  void Depart(const std::string& instance, std::uint64_t born_ms);
+
+  /// Waits, for a bounded time, until another daemon remembers a leaving that was just taken. To be
+  /// awaited before the leaving is acknowledged.
+  boost::asio::awaitable<void> SettleDeparture();
+
+  /// Takes up what other daemons remember of this vm from before the daemon restarted.
+  void Recall(const member_record& past);
 
   /// Notes that nothing listens where an instance should; its next report brings it back.
   void NoteUnreachable(const std::string& instance);
@@ -54,6 +62,9 @@
   void Stop();
 
  private:
+  /// Has the other daemons remember a start that leaves.
+  void StateDeparted(const std::string& instance, std::uint64_t born_ms);
+
   void Renew();
   void SetTarget(const endpoint& where, target_announcement target);
   void ForgetTarget(const char* reason);
--- a/src/daemon/tests/report_order_test.cc
+++ b/src/daemon/tests/report_order_test.cc
@@ -37,7 +37,7 @@
 Test(report_order, after_a_good_bye_believes_no_report_of_that_start) {
   report_order order;
   cr_assert(order.Take({"i-1", 100, 4}));
-  order.Depart("i-1");
+  order.Depart("i-1", 100);
   cr_assert(!order.Take({"i-1", 100, 5}));
   cr_assert(order.Take({"i-1", 101, 1}));
 }
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kTransferBytes = 1U << 20U;
 constexpr std::size_t kTransferMembers = 2'000;
 constexpr milliseconds kReconcileTimeout{3'000};
+constexpr int kNeighboursToShareWith = 2;
 
 bool HasNews(const spread_request& message) {
   return !message.documents.empty() || !message.members.empty() || !message.crashes.empty();
@@ -61,6 +62,23 @@
       strategy_(strategy),
       settings_(std::move(settings)) {}
 
+asio::awaitable<bool> record_exchange::ShareSelf(milliseconds time) {
+  const member_record self = board_.self.Get();
+  const time_point end = Now() + time;
+  const auto next =
+      Successors(*board_.members.View(), self.data_centre, self.vm, kNeighboursToShareWith);
+  for (const member_ptr& each : next) {
+    const auto left = std::chrono::duration_cast<milliseconds>(end - Now());
+    if (left.count() <= 0) break;
+    spread_request message = MakeSpread({spread_reach::kSegment, each->vm});
+    message.members.push_back(self);
+    const auto reply = co_await peers_.Spread(each->control, std::move(message),
+                                              std::min(left, time / kNeighboursToShareWith));
+    if (Ok(reply)) co_return true;
+  }
+  co_return false;
+}
+
 std::uint64_t record_exchange::DocumentHash() const {
   std::uint64_t hash = 0;
   for (std::size_t i = 0; i < document_board::kBuckets; ++i) {
@@ -102,6 +120,7 @@
 bool record_exchange::MergeMember(const member_record& record) {
   const member_record self = board_.self.Get();
   if (record.vm == self.vm && record.version != self.version) {
+    if (on_past_) on_past_(record);
     if (board_.self.Refute(record.version)) {
       logging::Info("refuted", {{"stated", StateName(record.version.state)}});
       asio::post(context_, [this] { StateSelf(); });
@@ -361,6 +380,8 @@
 asio::awaitable<transfer_reply> record_exchange::OnTransfer(transfer_request message) {
   const member_record self = board_.self.Get();
   const bool neighbour = message.sender_data_centre == self.data_centre;
+  // A sender that has restarted is told what it stated before.
+  const member_ptr past = board_.members.Find(message.sender);
   news fresh = Merge(message.documents, message.members, neighbour, nullptr);
   if (!neighbour) {
     spread_request onwards = MakeSpread({spread_reach::kRegion, ""});
@@ -368,7 +389,10 @@
     onwards.members = std::move(fresh.members);
     Hand(std::move(onwards));
   }
-  co_return Collect(message.wanted_documents, message.wanted_members);
+  transfer_reply reply = Collect(message.wanted_documents, message.wanted_members);
+  const bool superseded = past != nullptr && past != board_.members.Find(message.sender);
+  if (superseded && past->departed) reply.members.push_back(*past);
+  co_return reply;
 }
 
 }  // namespace catkinmoor
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -38,6 +38,9 @@
 
   void SetMemberListener(member_listener listener) { on_member_ = std::move(listener); }
 
+  /// Called with what others still hold of this daemon from before it restarted.
+  void SetPastListener(member_listener listener) { on_past_ = std::move(listener); }
+
   /// Spreads documents that this daemon holds.
   void SpreadDocuments(std::vector<document_version> documents, spread_reach reach);
 
@@ -50,6 +53,10 @@
   /// Spreads this daemon's own record in its present form.
   void StateSelf();
 
+  /// Waits until one neighbour holds this daemon's own record as it is now. False when none took it
+  /// within the time.
+  boost::asio::awaitable<bool> ShareSelf(milliseconds time);
+
   /// Makes both sides hold the newest records of either. Fails when the peer does not answer.
   boost::asio::awaitable<result<done>> Reconcile(member_record peer);
 
@@ -93,6 +100,7 @@
   spread_strategy& strategy_;
   distribution_settings settings_;
   member_listener on_member_;
+  member_listener on_past_;
   std::mutex queue_mutex_;
   std::vector<member_record> queued_members_;
 };
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -34,6 +34,15 @@
   friend bool operator==(const target_announcement&, const target_announcement&) = default;
 };
 
+/// The start of a target that last said that it leaves. Others keep it for a daemon that restarts
+/// and must not believe a report of that start that was held up on the way.
+struct departed_target {
+  std::string instance;
+  std::uint64_t born_ms = 0;
+
+  friend bool operator==(const departed_target&, const departed_target&) = default;
+};
+
 /// Order of statements about one vm: incarnation, then the owner's sequence, then rank.
 struct member_version {
   std::uint64_t incarnation = 0;
@@ -52,6 +61,7 @@
   endpoint control;
   member_version version;
   std::optional<target_announcement> target;
+  std::optional<departed_target> departed = std::nullopt;
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -112,6 +112,9 @@
   ToWire(from.control, *to.mutable_control());
   ToWire(from.version, *to.mutable_version());
   if (from.target) ToWire(*from.target, *to.mutable_target());
+  if (!from.departed) return;
+  to.set_departed_instance(from.departed->instance);
+  to.set_departed_born_ms(from.departed->born_ms);
 }
 
 member_record FromWire(const wire::Member& from) {
@@ -123,6 +126,9 @@
                    FromWire(from.version()),
                    std::nullopt};
   if (from.has_target()) to.target = FromWire(from.target());
+  if (!from.departed_instance().empty()) {
+    to.departed = departed_target{from.departed_instance(), from.departed_born_ms()};
+  }
   return to;
 }
 
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -77,8 +77,11 @@
       break;
     }
     context.tried.insert(target->vm);
-    // Nothing watched the caller's connection between two attempts.
-    if (state.attempts_made > 0 && !call.streams && IsClosed(caller)) co_return false;
+    // The caller may have left before its request was read, or between two attempts.
+    if (!call.streams && IsClosed(caller)) {
+      Count("catkinmoor_callers_gone_total", call);
+      co_return false;
+    }
     ++state.attempts_made;
     if (state.attempts_made > 1) Count("catkinmoor_retries_total", call);
     const std::string attempt_id = RandomId();
