Let a request given up for silence go on over a new connection

links_process_test failed in with_connections_gone_silent_*: since silent gates are given up, a repeatable request was not offered to the same gate over a new connection.

--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -140,6 +140,7 @@
 
 void attempt_sender::TakeVerdict(const answer_wait& wait, attempt_result& attempt) {
   if (wait.unheard && attempt.answer == nullptr) {
+    attempt.silent = true;
     attempt.caller_gone = false;
     attempt.gate_asked = true;
     attempt.reason = "unheard";
