Repeat failed answers of repeatable requests; avoid failing targets; keep queues short

A repeatable request is now sent once more, within attempts and budget, and targets are weighed by their share of failures, which fades with a half-life of 2 s. The gate now counts 1.6 means. Ruled out: processor (0.05 cores), wrong choice of targets (all gates were full). Tests: decision table over every state, selection, budget of a fleet, admission.

--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr double kServiceTimeWeight = 0.1;
+/// Times vary around their mean; this many means cover most requests. The queue stays short under
+/// overload, and slots are busy with a short one as well.
+constexpr double kServiceMargin = 1.6;
 
 constexpr std::size_t kRanks = 4;
 
@@ -74,7 +77,7 @@
 bool admission_queue::CannotMeet(const admission_request& request, time_point now) const {
   const double left_ms =
       std::chrono::duration<double, std::milli>(*request.objective - now).count();
-  return ExpectedWaitMs(request) + ServiceMs(request.route) > left_ms;
+  return ExpectedWaitMs(request) + kServiceMargin * ServiceMs(request.route) > left_ms;
 }
 
 bool admission_queue::IsTooLate(const admission_request& request, time_point now) const {
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -30,8 +30,40 @@
   return {ticket, kind, "route", 1'000, 50, time_point{} + milliseconds(deadline_ms)};
 }
 
+/// A request whose answer should be there by a time.
+admission_request Urgent(std::uint64_t ticket, int objective_ms) {
+  admission_request request = Request(ticket, route_class::kBrowse);
+  request.objective = time_point{} + milliseconds(objective_ms);
+  return request;
+}
+
 }  // namespace
 
+Test(admission_queue, with_an_objective_out_of_reach_refuses_at_once) {
+  admission_queue queue;
+  queue.SetSlots(1);
+  cr_assert(queue.Arrive(Urgent(1, 500), time_point{}).what == admission::kRun);
+  queue.Finish("route", milliseconds(1'000), time_point{});
+  cr_assert(queue.Arrive(Urgent(2, 5'000), time_point{}).what == admission::kRun);
+  cr_assert(queue.Arrive(Urgent(3, 5'000), time_point{}).what == admission::kWait);
+  const auto refused = queue.Arrive(Urgent(4, 150), time_point{});
+  cr_assert(refused.what == admission::kRefuse && refused.reason == refusal::kTooLate);
+}
+
+Test(admission_queue, with_a_priority_runs_the_first_rank_first) {
+  admission_queue queue;
+  queue.SetSlots(1);
+  cr_assert(queue.Arrive(Request(1, route_class::kBooking), time_point{}).what == admission::kRun);
+  admission_request second = Request(2, route_class::kBooking);
+  second.priority = 1;
+  admission_request first = Request(3, route_class::kDownload);
+  first.priority = 0;
+  cr_assert(queue.Arrive(second, time_point{}).what == admission::kWait);
+  cr_assert(queue.Arrive(first, time_point{}).what == admission::kWait);
+  const auto released = queue.Finish("route", milliseconds(1), time_point{});
+  cr_assert(released.size() == 1 && released.front().ticket == 3);
+}
+
 Test(request_ledger, over_any_history_never_both_hands_and_denies_an_id) {
   cr_assert(rc::check([] {
     request_ledger ledger;
--- a/src/daemon/tests/report_order_test.cc
+++ b/src/daemon/tests/report_order_test.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using catkinmoor::report_order;
-using catkinmoor::report_stamp;
 
 }  // namespace
 
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -11,6 +11,7 @@
 
 // A gate remembers handed requests for at least this long, so its word on older ones is not taken.
 constexpr milliseconds kGateMemory{30'000};
+constexpr unsigned kLeastFailure = 500;
 constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
 
 }  // namespace
@@ -252,7 +253,9 @@
   const auto& answer = attempt.answer->get();
   const std::string outcome(answer[kOutcomeHeader]);
   if (outcome == kRan) {
-    attempt.outcome = attempt_outcome::kAnswered;
+    const bool failed = answer.result_int() >= kLeastFailure;
+    attempt.outcome = failed ? attempt_outcome::kFailed : attempt_outcome::kAnswered;
+    if (failed) attempt.reason = "status-" + std::to_string(answer.result_int());
     co_return;
   }
   attempt.reason = std::string(answer[kReasonHeader]);
@@ -268,6 +271,11 @@
     attempt.outcome = attempt_outcome::kLost;
     attempt.gate_asked = outcome == kUnknown;
   }
+  co_await Discard(worker, std::move(target), attempt);
+}
+
+asio::awaitable<void> attempt_sender::Discard(entry_worker& worker, member_record target,
+                                              attempt_result& attempt) {
   const bool reusable = co_await DropAnswer(*attempt.gate, *attempt.answer);
   if (reusable) worker.pool.Return(target.gate, std::move(attempt.gate), settings_.idle_timeout);
 }
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -21,6 +21,10 @@
                                       request_parser& parser, const call_state& call,
                                       member_record target, std::string attempt_id);
 
+  /// Reads an answer that is not delivered to its end, and keeps its connection if it can be used.
+  asio::awaitable<void> Discard(entry_worker& worker, member_record target,
+                                attempt_result& attempt);
+
  private:
   static std::optional<milliseconds> ObjectiveOf(const call_state& call);
 
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -119,7 +119,9 @@
       co_return co_await Deliver(worker, caller, parser, call, std::move(context), *target,
                                  std::move(attempt));
     }
-    state.may_have_run = state.may_have_run || attempt.outcome == attempt_outcome::kLost;
+    const bool failed = attempt.outcome == attempt_outcome::kFailed;
+    if (failed) co_await sender_.Discard(worker, *target, attempt);
+    state.may_have_run = state.may_have_run || failed || attempt.outcome == attempt_outcome::kLost;
     if (next == next_step::kSayUnknown) {
       const bool late = Now() >= call.deadline || attempt.reason == kDeadline;
       const unsigned status = late ? 504 : 502;
@@ -155,7 +157,10 @@
       board_.loads.OnFailure(target.vm, Now());
       return;
     case attempt_outcome::kAnswered:
-      board_.loads.OnSuccess(target.vm);
+      board_.loads.OnSuccess(target.vm, Now());
+      break;
+    case attempt_outcome::kFailed:
+      board_.loads.OnFailedAnswer(target.vm, Now());
       break;
     case attempt_outcome::kRefused:
       // The gate's target is away; the news of it is on its way.
--- a/src/routing/internal/load_board.cc
+++ b/src/routing/internal/load_board.cc
@@ -1,10 +1,16 @@
 #include "routing/load_board.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinmoor {
 namespace {
 
+/// Weight of one answer in a target's share of failures.
+constexpr double kAnswerWeight = 0.1;
+/// Time in which a target that is avoided for its failures regains half of its standing.
+constexpr std::chrono::duration<double> kFailureHalfLife{2.0};
+
 constexpr milliseconds kFirstEjection{500};
 constexpr milliseconds kLongestEjection{8'000};
 constexpr std::uint32_t kDoublings = 4;
@@ -44,9 +50,25 @@
   });
 }
 
-void load_board::OnSuccess(const std::string& vm) {
+double FailedShare(const target_load& load, time_point now) {
+  const std::chrono::duration<double> age = now - load.failed_share_at;
+  return load.failed_share * std::exp2(-age / kFailureHalfLife);
+}
+
+void load_board::OnFailedAnswer(const std::string& vm, time_point now) {
+  loads_.With(vm, [&](auto& entries) {
+    target_load& entry = entries[vm];
+    entry.failed_share = FailedShare(entry, now) * (1 - kAnswerWeight) + kAnswerWeight;
+    entry.failed_share_at = now;
+    return 0;
+  });
+}
+
+void load_board::OnSuccess(const std::string& vm, time_point now) {
   loads_.With(vm, [&](auto& entries) {
     target_load& entry = entries[vm];
+    entry.failed_share = FailedShare(entry, now) * (1 - kAnswerWeight);
+    entry.failed_share_at = now;
     entry.failures_in_row = 0;
     entry.ejected_until = {};
     return 0;
--- a/src/routing/internal/retry_policy.cc
+++ b/src/routing/internal/retry_policy.cc
@@ -22,6 +22,8 @@
   switch (outcome) {
     case attempt_outcome::kAnswered:
       return "answered";
+    case attempt_outcome::kFailed:
+      return "failed";
     case attempt_outcome::kNotSent:
       return "not-sent";
     case attempt_outcome::kRefused:
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -15,6 +15,8 @@
 /// Round trips by distance: within a data centre, a region, and between regions; usual figures of
 /// the users' networks, since only their differences matter.
 constexpr double kRoundTripMs[] = {0.4, 2.0, 24.0};
+/// What a failure costs the caller, as a time: about that of another try.
+constexpr double kFailureMs = 600;
 constexpr int kBetweenRegions = 2;
 /// Links between regions are paid by volume: an answer must be this much sooner to be worth one,
 /// and more for the long answers of downloads.
@@ -83,7 +85,8 @@
   const double link = kind == route_class::kDownload ? kDownloadLinkMs : kPaidLinkMs;
   const int distance = Distance(member, context);
   const double way = kRoundTripMs[distance] + (distance == kBetweenRegions ? link : 0);
-  return way + service_ms * (1 + crowding + wait);
+  const double failures = kFailureMs * FailedShare(load, context.now);
+  return way + failures + service_ms * (1 + crowding + wait);
 }
 
 /// The member whose answer is expected soonest. A little chance keeps choosers that see the same
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -28,10 +28,16 @@
   time_point reported_at{};
   /// Mean time for requests of each class as last reported, in milliseconds; 0 when unknown.
   std::array<double, kRouteClasses> service_ms{};
+  /// Share of answers that were failures, at a moment; it fades while no answers come.
+  double failed_share = 0;
+  time_point failed_share_at{};
   std::uint32_t failures_in_row = 0;
   time_point ejected_until{};
 };
 
+/// The share of a target's answers that were failures, as it stands now.
+double FailedShare(const target_load& load, time_point now);
+
 /// The blackboard entry for load, by vm. Answers write it and selection reads it.
 class load_board {
  public:
@@ -42,7 +48,10 @@
   /// Notes that a vm could not be reached or broke off. Repeated failures keep it out of selection
   /// for a time that doubles up to a bound.
   void OnFailure(const std::string& vm, time_point now);
-  void OnSuccess(const std::string& vm);
+  void OnSuccess(const std::string& vm, time_point now);
+
+  /// Notes that a target answered with a failure of its own.
+  void OnFailedAnswer(const std::string& vm, time_point now);
 
   target_load Get(const std::string& vm) const;
 
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -13,6 +13,7 @@
 /// How one attempt ended.
 enum class attempt_outcome {
   kAnswered,       ///< A whole header came back from the target.
+  kFailed,         ///< A whole header of a failure of the target's own came back.
   kNotSent,        ///< Nothing reached the gate.
   kRefused,        ///< The gate stated that the request was not and will not be handed on.
   kRefusedByLoad,  ///< The same, because of overload.
@@ -47,8 +48,15 @@
   return state.may_have_run ? next_step::kSayUnknown : next_step::kSayNotRun;
 }
 
+/// Whether a request may be run again after an attempt that may have run it.
+inline bool MayRepeat(const route& chosen_route, const attempt_state& state) {
+  return chosen_route.repeatable && state.body_replayable &&
+         state.attempts_made < chosen_route.attempts && state.time_left.count() > 0;
+}
+
 /// Decides what follows an attempt. A request that is not repeatable goes on only with proof that
-/// it has not run; a repeatable one also after an answer was lost, within its attempts. Whether the
+/// it has not run; a repeatable one also after an answer was lost or told of a failure, within its
+/// attempts. Whether the
 /// budget allows a repetition is asked through a function, which is called only when it matters.
 template <typename TakeBudget>
 next_step DecideNext(const route& chosen_route, const attempt_state& state,
@@ -56,11 +64,11 @@
   switch (state.outcome) {
     case attempt_outcome::kAnswered:
       return next_step::kDeliver;
+    case attempt_outcome::kFailed:
+      return MayRepeat(chosen_route, state) && take_budget() ? next_step::kTryAnother
+                                                             : next_step::kDeliver;
     case attempt_outcome::kLost: {
-      const bool may_repeat = chosen_route.repeatable && state.body_replayable &&
-                              state.attempts_made < chosen_route.attempts &&
-                              state.time_left.count() > 0;
-      if (may_repeat && take_budget()) return next_step::kTryAnother;
+      if (MayRepeat(chosen_route, state) && take_budget()) return next_step::kTryAnother;
       return state.gate_asked ? next_step::kSayUnknown : next_step::kAskGate;
     }
     case attempt_outcome::kNotSent:
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -155,12 +155,14 @@
               const next_step step = DecideNext(chosen, state, [] { return true; });
               if (may_have_run) cr_assert(step != next_step::kSayNotRun);
               const bool lost = state.outcome == attempt_outcome::kLost;
-              const bool proven = !lost && state.outcome != attempt_outcome::kAnswered;
+              const bool failed = state.outcome == attempt_outcome::kFailed;
+              const bool proven = !lost && !failed && state.outcome != attempt_outcome::kAnswered;
               if (step == next_step::kTryAnother) {
-                cr_assert(proven || (lost && repeatable && made < 3));
+                cr_assert(proven || ((lost || failed) && repeatable && made < 3));
                 cr_assert(replayable && left > 0);
               }
               if (step == next_step::kSayNotRun) cr_assert(proven);
+              if (failed && step != next_step::kTryAnother) cr_assert(step == next_step::kDeliver);
               if (lost) cr_assert(step != next_step::kSayNotRun);
               if (lost && asked) cr_assert(step != next_step::kAskGate);
             }
@@ -171,6 +173,59 @@
   }
 }
 
+// What all daemons of a fleet save up together stays within the fleet's burst.
+Test(retry_budget, shared_by_a_fleet_saves_up_no_more_than_its_burst) {
+  cr_assert(rc::check([] {
+    const retry_budget_settings settings{0.2, 0, 30};
+    const auto daemons = *rc::gen::inRange(1, 40);
+    double retries = 0;
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+      retry_budget budget;
+      budget.SetDaemons(static_cast<std::size_t>(daemons));
+      const time_point now = time_point{} + milliseconds(1);
+      for (int i = 0; i < 1'000; ++i) budget.OnFirstTry("slotboard", settings, now);
+      while (budget.Take("slotboard", settings, now)) ++retries;
+    }
+    RC_ASSERT(retries <= 30);
+  }));
+}
+
+Test(pick_target, balanced_stays_in_the_region_until_it_is_crowded) {
+  document content = Slotboard();
+  content.routes.front().preference = catkinmoor::locality::kBalanced;
+  const std::vector<member_ptr> all = {Target("near", "r", "r-1"), Target("far", "s", "s-1")};
+  load_board loads;
+  std::mt19937_64 random(1);
+  const auto pick = [&] {
+    return PickTarget(all, content, content.routes.front(), From("r", "r-1"), loads, random)->vm;
+  };
+  cr_assert(pick() == "near");
+  const auto now = time_point{} + milliseconds(1);
+  loads.OnReport("near", content.routes.front().kind, {10, 10, 10, 100}, now);
+  cr_assert(pick() == "far");
+}
+
+Test(pick_target, balanced_avoids_a_target_that_fails_until_that_fades) {
+  document content = Slotboard();
+  content.routes.front().preference = catkinmoor::locality::kBalanced;
+  const std::vector<member_ptr> all = {Target("good", "r", "r-1"), Target("grey", "r", "r-1")};
+  load_board loads;
+  std::mt19937_64 random(1);
+  selection_context context = From("r", "r-1");
+  for (int i = 0; i < 10; ++i) loads.OnFailedAnswer("grey", context.now);
+  const auto grey_of = [&] {
+    int grey = 0;
+    for (int i = 0; i < 100; ++i) {
+      const auto chosen = PickTarget(all, content, content.routes.front(), context, loads, random);
+      grey += chosen->vm == "grey" ? 1 : 0;
+    }
+    return grey;
+  };
+  cr_assert(grey_of() == 0);
+  context.now += milliseconds(30'000);
+  cr_assert(grey_of() > 20);
+}
+
 Test(retry_budget, under_any_load_lets_through_no_more_than_its_share) {
   cr_assert(rc::check([] {
     const retry_budget_settings settings{0.2, 1};
