--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -138,7 +138,12 @@
   news fresh;
   for (const document_version& each : documents) {
     const offer_outcome outcome = board_.documents.Offer(each, witnessed);
-    if (outcome == offer_outcome::kNews) fresh.documents.push_back(each);
+    if (outcome == offer_outcome::kNews) {
+      logging::Info("document learnt", {{"from", "peer"},
+                                        {"service", each.service},
+                                        {"version", static_cast<std::int64_t>(each.version)}});
+      fresh.documents.push_back(each);
+    }
     if (outcome == offer_outcome::kRefused) {
       logging::Warning("document refused", {{"service", each.service},
                                             {"version", static_cast<std::int64_t>(each.version)}});
