Give an unheard attempt up only when its gate's daemon was found gone

After SIGTERM sidecar-willamette-b-2 answered 502 to a browse that its target was running (reached it at 27.177 s, given up at 27.351 s). A busy daemon answers such a question late while its target works. Ruled out: the drain's end (2.4 s were left). Change: others must have found that daemon suspect, dead, left or restarted. Table test added; it cannot be shown without the decision, which was not a function before.

--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -96,7 +96,7 @@
                                                           time_point sent_at) {
   auto wait = std::make_shared<answer_wait>(attempt.gate->stream.get_executor());
   wait->gate = attempt.gate.get();
-  wait->gives_up = call.chosen->repeatable && !call.streams;
+  wait->repeatable = call.chosen->repeatable && !call.streams;
   // A route's objective tells how long its answers usually take at most.
   const milliseconds objective = call.chosen->target_latency;
   const bool states_one = objective.count() > 0;
@@ -126,9 +126,9 @@
       wait->gate->stream.cancel();
       co_return;
     }
-    if (fate == request_fate::kUnknown && wait->gives_up) {
-      // Neither connection yields a word: the gate is gone or cut off, and the request may be
-      // repeated elsewhere.
+    const member_ptr present = board_.members.Find(target.vm);
+    if (fate == request_fate::kUnknown &&
+        GivesUpUnheard(wait->repeatable, present.get(), target.version.incarnation)) {
       wait->unheard = true;
       wait->gate->stream.cancel();
       co_return;
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -43,8 +43,8 @@
   connection* gate = nullptr;
   bool active = true;
   request_fate verdict = request_fate::kUnknown;
-  /// Whether the attempt is given up when the gate cannot be asked either.
-  bool gives_up = false;
+  /// Whether the request can be run again from the start.
+  bool repeatable = false;
   bool unheard = false;
 };
 
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -7,6 +7,7 @@
 #include "document/document.h"
 #include "framework/base/clock.h"
 #include "framework/base/sharded_map.h"
+#include "membership/member.h"
 
 namespace catkinmoor {
 
@@ -42,6 +43,16 @@
 /// How many targets may be tried with proof that none ran the request before.
 inline constexpr std::int64_t kProvenAttempts = 4;
 
+/// Whether an attempt is given up whose gate could not be asked about it. A gate that is only slow
+/// may have its target at work on the request, so others must have found its daemon gone first.
+inline bool GivesUpUnheard(bool repeatable, const member_record* present,
+                           std::uint64_t asked_incarnation) {
+  if (!repeatable) return false;
+  if (present == nullptr) return true;
+  return present->version.state != member_state::kAlive ||
+         present->version.incarnation != asked_incarnation;
+}
+
 /// What to say when no further attempt is made: that this attempt did not run says nothing of an
 /// earlier one that was lost.
 inline next_step GiveUp(const attempt_state& state) {
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -173,6 +173,20 @@
   }
 }
 
+// The target may be at work on a request whose gate is merely slow to be asked.
+Test(gives_up_unheard, only_with_a_daemon_that_others_found_gone) {
+  member_record gate;
+  gate.version = {5, 1, member_state::kAlive};
+  cr_assert(!catkinmoor::GivesUpUnheard(true, &gate, 5));
+  cr_assert(catkinmoor::GivesUpUnheard(true, &gate, 4));
+  cr_assert(catkinmoor::GivesUpUnheard(true, nullptr, 5));
+  for (const auto state : {member_state::kSuspect, member_state::kDead, member_state::kLeft}) {
+    gate.version.state = state;
+    cr_assert(catkinmoor::GivesUpUnheard(true, &gate, 5));
+    cr_assert(!catkinmoor::GivesUpUnheard(false, &gate, 5));
+  }
+}
+
 // What all daemons of a fleet save up together stays within the fleet's burst.
 Test(retry_budget, shared_by_a_fleet_saves_up_no_more_than_its_burst) {
   cr_assert(rc::check([] {
