Keep a target's failure until a better answer is there; split the gate's reading of answers

Cause: a failed answer was dropped before another target was found, and without one the refusal of no target at all was given. Now the failure is kept and handed on when nothing better comes, and a request that may have run is never told 503.

--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -1,6 +1,7 @@
 #include "proxy/internal/call_carrier.h"
 
 #include <boost/beast/http/write.hpp>
+#include <optional>
 
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr int kResumes = 3;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kGatewayTimeout = 504;
 
 std::int64_t VersionOf(const call_state& call) {
   return call.content == nullptr ? 0 : static_cast<std::int64_t>(call.content->source.version);
@@ -58,6 +61,25 @@
 
 }  // namespace
 
+namespace {
+
+/// A failure that a target answered with, kept until another target does better.
+struct kept_failure {
+  kept_failure(attempt_result of, member_record at)
+      : attempt(std::move(of)), target(std::move(at)) {}
+
+  attempt_result attempt;
+  member_record target;
+};
+
+/// The answer to a request that may have run.
+own_answer Unknown(const call_state& call, error failure) {
+  const unsigned status = Now() >= call.deadline ? kGatewayTimeout : kBadGateway;
+  return {status, kUnknown, "lost", std::move(failure)};
+}
+
+}  // namespace
+
 asio::awaitable<bool> call_carrier::Carry(entry_worker& worker, connection& caller,
                                           request_parser& parser, call_state& call) {
   const document& content = call.content->content;
@@ -65,6 +87,7 @@
   selection_context context = MakeContext();
   attempt_state state{.attempts_made = 0};
   std::size_t crashes = 0;
+  std::optional<kept_failure> kept;
   own_answer last = NotRun(503, "no-target", "pick target", "no target takes this route now");
   for (;;) {
     context.now = Now();
@@ -73,7 +96,7 @@
     const member_ptr target =
         PickTarget(eligible, content, *call.chosen, context, board_.loads, worker.random);
     if (target == nullptr) {
-      if (GiveUp(state) == next_step::kSayUnknown) last.outcome = kUnknown;
+      if (GiveUp(state) == next_step::kSayUnknown) last = Unknown(call, std::move(last.failure));
       break;
     }
     context.tried.insert(target->vm);
@@ -112,26 +135,32 @@
       if (fate == request_fate::kNeverHanded) attempt.outcome = attempt_outcome::kFencedNotRun;
       next = Decide(call, state, attempt.outcome);
     }
-    if (next != next_step::kDeliver) {
-      LogAttempt(call, *target, attempt_id, attempt, next, load, sent_at);
-    }
     if (next == next_step::kDeliver) {
+      if (kept) co_await sender_.Discard(worker, kept->target, kept->attempt);
       co_return co_await Deliver(worker, caller, parser, call, std::move(context), *target,
                                  std::move(attempt));
     }
+    LogAttempt(call, *target, attempt_id, attempt, next, load, sent_at);
     const bool failed = attempt.outcome == attempt_outcome::kFailed;
-    if (failed) co_await sender_.Discard(worker, *target, attempt);
     state.may_have_run = state.may_have_run || failed || attempt.outcome == attempt_outcome::kLost;
+    if (failed) {
+      kept.emplace(std::move(attempt), *target);
+      continue;
+    }
     if (next == next_step::kSayUnknown) {
-      const bool late = Now() >= call.deadline || attempt.reason == kDeadline;
-      const unsigned status = late ? 504 : 502;
-      own_answer unknown{status, kUnknown, "lost", std::move(attempt.failure)};
-      co_return co_await AnswerOwn(caller, parser, call, std::move(unknown));
+      last = Unknown(call, std::move(attempt.failure));
+      if (attempt.reason == kDeadline) last.status = kGatewayTimeout;
+      break;
     }
     const std::string reason = attempt.reason.empty() ? "not-reached" : attempt.reason;
     last = {503, kNotRun, reason, std::move(attempt.failure), attempt.retry_after};
     if (next == next_step::kSayNotRun) break;
   }
+  if (kept) {
+    // Nothing better came of trying again.
+    co_return co_await Deliver(worker, caller, parser, call, std::move(context), kept->target,
+                               std::move(kept->attempt));
+  }
   co_return co_await AnswerOwn(caller, parser, call, std::move(last));
 }
 
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
@@ -11,6 +10,7 @@
 #include "proxy/internal/call_headers.h"
 #include "proxy/internal/slot_controller.h"
 #include "proxy/internal/stream_http.h"
+#include "proxy/internal/target_answers.h"
 
 namespace catkinmoor {
 
@@ -24,10 +24,6 @@
 constexpr milliseconds kLongestIdle{30'000};
 // A connection that was used this lately is not one that the target closes for idleness.
 constexpr milliseconds kIdleBeforeUnsafe{800};
-// Late answers to earlier requests that are read past before a connection is given up.
-constexpr int kPassedAnswers = 3;
-constexpr std::size_t kPassedBytes = 256U << 10U;
-constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
 
 own_answer NotRun(unsigned status, std::string reason, std::string message) {
   return {status, kNotRun, reason, {error_kind::kRefused, "gate", "", std::move(message)}};
@@ -337,12 +333,13 @@
         entry_gone = true;
         backend->stream.cancel();
       });
-      failed = co_await ReadOwnAnswer(*backend, parser, call, head, deadline);
+      const answer_reading how{settings_, board_.metrics};
+      failed = co_await ReadAnswerTo(call, *backend, parser, head, deadline, how);
     }
-    if (!failed && TurnedAway(parser->get())) {
+    if (!failed && TurnsAway(parser->get(), settings_.dialect)) {
       co_return co_await PassRefusal(worker, entry, std::move(backend), where, *parser, head, keep);
     }
-    if (!failed && IsSpoiled(parser->get())) failed = bhttp::error::bad_value;
+    if (!failed && IsSpoiled(parser->get(), settings_.dialect)) failed = bhttp::error::bad_value;
     if (failed) {
       Abort(*backend);
       if (entry_gone) co_return false;
@@ -386,67 +383,15 @@
     co_return keep;
   }
 
-  /// Reads the header of the answer to a call. Interim answers and late ones to earlier requests on
-  /// the connection are passed over.
-  asio::awaitable<beast::error_code> ReadOwnAnswer(connection& backend,
-                                                   std::optional<response_parser>& parser,
-                                                   const gate_call& call, bool head,
-                                                   time_point deadline) {
-    for (int passed = 0; passed <= kPassedAnswers; ++passed) {
-      parser.emplace();
-      parser->body_limit(boost::none);
-      parser->header_limit(kAnswerHeaderBytes);
-      parser->skip(head);
-      backend.stream.expires_at(deadline);
-      auto [failed, count] =
-          co_await bhttp::async_read_header(backend.stream, backend.buffer, *parser, kAwait);
-      if (failed) co_return failed;
-      if (parser->get().result_int() < 200) continue;
-      if (!settings_.dialect.targets_repeat_ids) co_return failed;
-      const auto id = parser->get()[kRequestIdHeader];
-      if (id == call.request_id) co_return failed;
-      board_.metrics.Count("catkinmoor_gate_crossed_answers_total");
-      logging::Warning("crossed answer", {{"request", call.request_id},
-                                          {"answers", std::string_view(id.data(), id.size())},
-                                          {"instance", call.instance}});
-      if (id.empty() || parser->need_eof()) co_return bhttp::error::bad_value;
-      std::string dropped;
-      const bool whole = co_await ReadWholeBody(backend, *parser, kPassedBytes, dropped,
-                                                settings_.progress_timeout);
-      if (!whole) co_return bhttp::error::partial_message;
-    }
-    co_return bhttp::error::bad_value;
-  }
-
-  /// Whether a target's answer says that it has not run the request.
-  bool TurnedAway(const response_message& answer) const {
-    const wire_dialect& dialect = settings_.dialect;
-    const bool misdirected = answer.result_int() == 421 && !dialect.instance_header.empty();
-    return misdirected ||
-           (!dialect.not_run_header.empty() && answer.find(dialect.not_run_header) != answer.end());
-  }
-
-  /// Whether an answer cannot be what the target meant to send.
-  bool IsSpoiled(const response_message& answer) const {
-    const wire_dialect& dialect = settings_.dialect;
-    if (dialect.proof_header.empty()) return false;
-    const bool success = answer.result_int() / 100 == 2;
-    return success && (answer.find(dialect.proof_header) == answer.end() ||
-                       answer.find(bhttp::field::content_encoding) != answer.end());
-  }
-
   /// Tells the entry that the target has not run a request.
   asio::awaitable<bool> PassRefusal(std::size_t worker, connection& entry, connection_ptr backend,
                                     endpoint where, response_parser& answer, bool head, bool keep) {
     const unsigned status = answer.get().result_int();
     const std::string id(answer.get()[kRequestIdHeader]);
-    const bool reusable = answer.keep_alive() && !answer.need_eof();
     const milliseconds usable = IdleTimeOf(answer.get());
-    std::string dropped;
     bool whole = false;
-    if (reusable) {
-      whole = co_await ReadWholeBody(*backend, answer, kPassedBytes, dropped,
-                                     settings_.progress_timeout);
+    if (answer.keep_alive()) {
+      whole = co_await DropAnswerBody(*backend, answer, settings_.progress_timeout);
     }
     if (whole) pools_[worker].Return(where, std::move(backend), usable);
     const std::string reason = status == 421 ? "other-target" : kTargetRefused;
