--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -21,7 +21,8 @@
 /// Starts a fleet with its document in force everywhere.
 void StartServing(fleet& subject) {
   subject.Start();
-  Expect(subject.Put(subject.Addresses().front(), SlotboardDocument(), 0).status == 200);
+  const auto put = subject.Put(subject.Addresses().front(), SlotboardDocument(), 0);
+  Expect(put.status == 200, std::to_string(put.status) + " " + put.body);
   subject.AwaitInForceEverywhere(1);
 }
 
