--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <set>
 
+#include "framework/base/text.h"
 #include "framework/json/field_table.h"
 
 namespace catkinmoor {
@@ -179,13 +180,6 @@
 /// The entry of an index for routes that take every host.
 const std::string kAnyHost;
 
-std::string LowerCase(std::string text) {
-  for (char& each : text) {
-    if (each >= 'A' && each <= 'Z') each = static_cast<char>(each - 'A' + 'a');
-  }
-  return text;
-}
-
 void AddToIndex(const route& added, std::size_t position, host_index& index) {
   if (added.match.hosts.empty()) index[kAnyHost].push_back(position);
   for (const std::string& host : added.match.hosts) index[LowerCase(host)].push_back(position);
--- /dev/null
+++ b/src/framework/base/text.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace catkinmoor {
+
+/// A text with its ASCII letters in lower case, as host names are compared.
+inline std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  for (char& each : lower) {
+    if (each >= 'A' && each <= 'Z') each = static_cast<char>(each - 'A' + 'a');
+  }
+  return lower;
+}
+
+}  // namespace catkinmoor
--- a/src/routing/internal/route_matcher.cc
+++ b/src/routing/internal/route_matcher.cc
@@ -1,7 +1,8 @@
 #include "routing/route_matcher.h"
 
 #include <algorithm>
-#include <cctype>
+
+#include "framework/base/text.h"
 
 namespace catkinmoor {
 namespace {
@@ -53,13 +54,6 @@
   return result;
 }
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
-}
-
 }  // namespace
 
 std::variant<const route*, no_route> FindRoute(const active_document& content,
