Pace long answers on the vm's link; let it bound how many run

Their vms send downloads of 90 KB over links of 8.4 Mbit/s: 54 Mbit/s offered on 50. The link's queue held back connections and the answers of 40 ms calls beyond their 500 ms. Ruled out: slots (targets turned nothing away), processor (0.023 of 0.1 cores), routing (arrivals even over the six, 1.09). Change: the gate sends answers beyond 16 KB in short blocks at 0.85 of the link's rate, and runs only as many requests with long answers as the link carries in 300 ms. Tests of the pacer and of admission fail without it.

--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -55,12 +55,20 @@
 /// they are not expected to meet it, so that work done late does not displace work done in time.
 /// Without one, bookings may wait until their deadline; the other classes are turned away when the
 /// expected wait exceeds what is left of theirs.
+/// Long answers share the vm's link besides, so that of routes that give such only so many run as
+/// it can carry.
 /// A plain state machine: time comes in as an argument, and the caller holds the lock.
 class admission_queue {
  public:
   /// Sets how many requests the target runs at once. Zero means that there is no target.
   void SetSlots(std::uint32_t slots) { slots_ = slots; }
 
+  /// Sets the rate at which the link carries answers. Zero means that it carries any.
+  void SetLink(double bytes_per_ms) { link_bytes_per_ms_ = bytes_per_ms; }
+
+  /// Notes the length of an answer that went over the link.
+  void NoteAnswer(const std::string& route, std::uint64_t bytes);
+
   /// Turns new and waiting requests away from now on. Yields the waiting ones.
   std::vector<admission_release> Drain();
   void Reopen() { draining_ = false; }
@@ -93,6 +101,10 @@
   static constexpr std::size_t kClasses = 4;
 
   bool CanRun(const admission_request& request) const;
+  bool HasSlot(const admission_request& request) const;
+  bool HasLink(const admission_request& request) const;
+  double LinkMs(const std::string& route) const;
+  double ExpectedLinkWaitMs(const admission_request& request) const;
   void Start(const admission_request& request);
   bool IsTooLate(const admission_request& request, time_point now) const;
   double ExpectedWaitMs(const admission_request& request) const;
@@ -103,6 +115,8 @@
   bool draining_ = false;
   double mean_service_ms_ = 0;
   std::map<std::string, double> service_ms_by_route_;
+  double link_bytes_per_ms_ = 0;
+  std::map<std::string, double> answer_bytes_by_route_;
   std::array<std::deque<admission_request>, kClasses> waiting_;
   std::map<std::string, std::int64_t> running_by_route_;
   std::map<std::string, std::int64_t> waiting_by_route_;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -10,6 +10,12 @@
 /// overload, and slots are busy with a short one as well.
 constexpr double kServiceMargin = 1.6;
 
+/// Answers of this length or more wait for the link.
+constexpr double kLongAnswerBytes = 16U << 10U;
+/// Time for which the answers of the requests that run together may keep the link busy; more would
+/// only wait for each other, and less would leave the link idle while targets work.
+constexpr double kLinkAheadMs = 300;
+
 constexpr std::size_t kRanks = 4;
 
 std::size_t Rank(const admission_request& request) {
@@ -49,6 +55,33 @@
 }
 
 bool admission_queue::CanRun(const admission_request& request) const {
+  return HasSlot(request) && HasLink(request);
+}
+
+double admission_queue::LinkMs(const std::string& route) const {
+  if (link_bytes_per_ms_ <= 0) return 0;
+  const auto found = answer_bytes_by_route_.find(route);
+  const bool is_long = found != answer_bytes_by_route_.end() && found->second >= kLongAnswerBytes;
+  return is_long ? found->second / link_bytes_per_ms_ : 0;
+}
+
+bool admission_queue::HasLink(const admission_request& request) const {
+  const double own_ms = LinkMs(request.route);
+  if (own_ms == 0) return true;
+  double busy_ms = 0;
+  for (const auto& [route, running] : running_by_route_) {
+    busy_ms += LinkMs(route) * static_cast<double>(running);
+  }
+  return busy_ms == 0 || busy_ms + own_ms <= kLinkAheadMs;
+}
+
+void admission_queue::NoteAnswer(const std::string& route, std::uint64_t bytes) {
+  const auto sample = static_cast<double>(bytes);
+  const auto [mean, first] = answer_bytes_by_route_.try_emplace(route, sample);
+  if (!first) mean->second += kServiceTimeWeight * (sample - mean->second);
+}
+
+bool admission_queue::HasSlot(const admission_request& request) const {
   if (in_use_ >= slots_) return false;
   const auto running = running_by_route_.find(request.route);
   return running == running_by_route_.end() || running->second < request.concurrency;
@@ -62,7 +95,18 @@
 double admission_queue::ExpectedWaitMs(const admission_request& request) const {
   std::size_t ahead = 0;
   for (std::size_t rank = 0; rank <= Rank(request); ++rank) ahead += waiting_[rank].size();
-  return mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
+  const double slot_ms =
+      mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
+  return std::max(slot_ms, ExpectedLinkWaitMs(request));
+}
+
+double admission_queue::ExpectedLinkWaitMs(const admission_request& request) const {
+  if (LinkMs(request.route) == 0) return 0;
+  double ahead_ms = 0;
+  for (std::size_t rank = 0; rank <= Rank(request); ++rank) {
+    for (const admission_request& each : waiting_[rank]) ahead_ms += LinkMs(each.route);
+  }
+  return ahead_ms;
 }
 
 double admission_queue::ServiceMs(const std::string& route) const {
@@ -92,9 +136,13 @@
   if (draining_) return {admission::kRefuse, refusal::kDraining};
   if (slots_ == 0) return {admission::kRefuse, refusal::kNoTarget};
   if (request.deadline <= now) return {admission::kRefuse, refusal::kTooLate};
-  const bool line_is_empty = std::all_of(waiting_.begin(), waiting_.begin() + Rank(request) + 1,
-                                         [](const auto& line) { return line.empty(); });
-  if (line_is_empty && CanRun(request)) {
+  // Those that wait for the link leave slots to requests with short answers.
+  const bool is_next =
+      std::none_of(waiting_.begin(), waiting_.begin() + Rank(request) + 1, [&](const auto& line) {
+        return std::any_of(line.begin(), line.end(),
+                           [&](const auto& each) { return HasLink(each); });
+      });
+  if (is_next && CanRun(request)) {
     Start(request);
     return {admission::kRun, refusal::kNone};
   }
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -209,3 +209,50 @@
   cr_assert(queue.Arrive(Request(3, route_class::kBrowse), time_point{}).what ==
             admission::kRefuse);
 }
+
+namespace {
+
+/// A request of a route whose answers take long to send.
+admission_request Long(std::uint64_t ticket) {
+  admission_request request = Request(ticket, route_class::kDownload);
+  request.route = "long";
+  return request;
+}
+
+/// A queue whose link carries ten long answers a second.
+admission_queue SlowLinkQueue() {
+  admission_queue queue;
+  queue.SetSlots(9);
+  queue.SetLink(1'000);
+  queue.NoteAnswer("long", 100'000);
+  return queue;
+}
+
+}  // namespace
+
+Test(admission_queue, on_a_slow_link_runs_as_many_long_answers_as_it_carries) {
+  admission_queue queue = SlowLinkQueue();
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    cr_assert(queue.Arrive(Long(i), time_point{}).what == admission::kRun);
+  }
+  cr_assert(queue.Arrive(Long(4), time_point{}).what == admission::kWait);
+  const auto released = queue.Finish("long", milliseconds(200), time_point{});
+  cr_assert(released.size() == 1 && released.front().ticket == 4);
+}
+
+Test(admission_queue, on_a_slow_link_lets_short_answers_past_long_ones) {
+  admission_queue queue = SlowLinkQueue();
+  for (std::uint64_t i = 1; i <= 4; ++i) queue.Arrive(Long(i), time_point{});
+  cr_assert(queue.Queued() == 1);
+  admission_request last = Request(5, route_class::kDownload);
+  cr_assert(queue.Arrive(last, time_point{}).what == admission::kRun);
+}
+
+Test(admission_queue, on_a_slow_link_refuses_a_long_answer_that_would_come_too_late) {
+  admission_queue queue = SlowLinkQueue();
+  for (std::uint64_t i = 1; i <= 9; ++i) queue.Arrive(Long(i), time_point{});
+  admission_request late = Long(10);
+  late.objective = time_point{} + milliseconds(400);
+  const auto refused = queue.Arrive(late, time_point{});
+  cr_assert(refused.what == admission::kRefuse && refused.reason == refusal::kTooLate);
+}
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -54,7 +54,7 @@
 }};
 
 using ps = proxy_settings;
-const std::array<field<ps>, 13> kProxyFields = {{
+const std::array<field<ps>, 14> kProxyFields = {{
     {"header_bytes", &ps::header_bytes, "Largest request header, in bytes.", false, 256, 1 << 20},
     {"body_bytes", &ps::body_bytes, "Largest request body, in bytes.", false, 0, kMostBytes},
     {"replay_bytes", &ps::replay_bytes, "Largest body kept so that it can be sent twice, in bytes.",
@@ -77,6 +77,9 @@
     {"own_service", &ps::own_service,
      "Service of the vm's own target, told to the targets that its requests reach."},
     {"max_depth", &ps::max_depth, "How deeply calls may be nested.", false, 1, 64},
+    {"link_kbps", &ps::link_kbps,
+     "Rate of the vm's link in kilobits a second, which long answers keep to; 0 for no bound.",
+     false, 0, kMostBytes},
 }};
 
 const std::array<field<translation_rule>, 2> kLinkFields = {{
--- /dev/null
+++ b/src/framework/pacing/tests/link_pacer_test.cc
@@ -0,0 +1,42 @@
+#include "framework/pacing/link_pacer.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using catkinmoor::link_pacer;
+using catkinmoor::milliseconds;
+using catkinmoor::time_point;
+
+constexpr double kBytesPerSecond = 1'000'000;
+constexpr time_point kStart = time_point{} + milliseconds(1'000);
+
+}  // namespace
+
+Test(link_pacer, without_a_rate_never_waits) {
+  link_pacer pacer(0);
+  cr_assert(!pacer.Active());
+  cr_assert(pacer.Book(100U << 20U, kStart) == kStart);
+  cr_assert(pacer.Book(1, kStart) == kStart);
+}
+
+Test(link_pacer, for_blocks_of_several_messages_keeps_to_the_rate) {
+  link_pacer pacer(kBytesPerSecond);
+  time_point last = kStart;
+  for (int i = 0; i < 100; ++i) last = pacer.Book(10'000, kStart);
+  cr_assert(last == kStart + milliseconds(990));
+}
+
+Test(link_pacer, after_a_pause_saves_nothing_up) {
+  link_pacer pacer(kBytesPerSecond);
+  pacer.Book(10'000, kStart);
+  const time_point later = kStart + milliseconds(500);
+  cr_assert(pacer.Book(10'000, later) == later);
+  cr_assert(pacer.Book(10'000, later) == later + milliseconds(10));
+}
+
+Test(link_pacer, on_a_slow_link_sends_short_blocks) {
+  cr_assert(link_pacer(kBytesPerSecond).BlockBytes() == 8'000);
+  cr_assert(link_pacer(100'000).BlockBytes() == 4U << 10U);
+  cr_assert(link_pacer(1'000'000'000).BlockBytes() == 64U << 10U);
+}
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -24,6 +24,13 @@
 constexpr milliseconds kLongestIdle{30'000};
 // A connection that was used this lately is not one that the target closes for idleness.
 constexpr milliseconds kIdleBeforeUnsafe{800};
+// Share of the link that long answers may use; the rest is for framing and all other messages.
+constexpr double kLinkShare = 0.85;
+
+/// Bytes a second that long answers may take of the link.
+double LongAnswerRate(const proxy_settings& settings) {
+  return kLinkShare * static_cast<double>(settings.link_kbps) * 1000 / 8;
+}
 
 own_answer NotRun(unsigned status, std::string reason, std::string message) {
   return {status, kNotRun, reason, {error_kind::kRefused, "gate", "", std::move(message)}};
@@ -47,7 +54,9 @@
       : workers_(workers),
         board_(board),
         settings_(settings),
-        slots_(std::make_shared<slot_controller>()) {
+        slots_(std::make_shared<slot_controller>()),
+        pacer_(LongAnswerRate(settings)) {
+    slots_->SetLink(LongAnswerRate(settings) / 1000);
     for (std::size_t i = 0; i < workers.Size(); ++i) pools_.emplace_back(settings_);
   }
 
@@ -369,8 +378,9 @@
     if (head) {
       sent = co_await SendHeader(entry, *parser);
     } else {
-      answer_writer writer(parser->get());
+      answer_writer writer(parser->get(), IsOnThisVm(entry) ? nullptr : &pacer_);
       sent = co_await TransferAnswer(*backend, *parser, entry, writer, settings_.progress_timeout);
+      if (sent == transfer_outcome::kWhole) slots_->NoteAnswer(call.route, writer.body_bytes);
     }
     if (sent != transfer_outcome::kWhole) {
       Abort(*backend);
@@ -383,6 +393,14 @@
     co_return keep;
   }
 
+  /// Whether an entry is this daemon's own, so that its answers do not use the link.
+  static bool IsOnThisVm(connection& entry) {
+    beast::error_code failed;
+    const auto here = entry.stream.socket().local_endpoint(failed);
+    const auto there = entry.stream.socket().remote_endpoint(failed);
+    return !failed && here.address() == there.address();
+  }
+
   /// Tells the entry that the target has not run a request.
   asio::awaitable<bool> PassRefusal(std::size_t worker, connection& entry, connection_ptr backend,
                                     endpoint where, response_parser& answer, bool head, bool keep) {
@@ -437,6 +455,7 @@
   gate_board board_;
   proxy_settings settings_;
   std::shared_ptr<slot_controller> slots_;
+  link_pacer pacer_;
   std::deque<connection_pool> pools_;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
   mutable std::mutex mutex_;
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -62,6 +62,16 @@
   Release(queue_.Advance(Now()));
 }
 
+void slot_controller::SetLink(double bytes_per_ms) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queue_.SetLink(bytes_per_ms);
+}
+
+void slot_controller::NoteAnswer(const std::string& route, std::uint64_t bytes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queue_.NoteAnswer(route, bytes);
+}
+
 void slot_controller::Drain() {
   const std::lock_guard<std::mutex> lock(mutex_);
   Release(queue_.Drain());
--- a/src/proxy/internal/slot_controller.h
+++ b/src/proxy/internal/slot_controller.h
@@ -48,6 +48,8 @@
   void Abandon(const place_ptr& waiting);
 
   void SetSlots(std::uint32_t slots);
+  void SetLink(double bytes_per_ms);
+  void NoteAnswer(const std::string& route, std::uint64_t bytes);
   void Drain();
 
   /// Present use, for reports to entries on an answer of a route.
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -68,28 +68,48 @@
   return would_wait ? peeked::kQuiet : peeked::kClosed;
 }
 
+/// An answer no longer than this is sent at once, ahead of longer ones that wait their turn.
+constexpr std::uint64_t kShortAnswerBytes = 16U << 10U;
+
+/// How the blocks of a body are moved.
+struct block_pace {
+  milliseconds progress;
+  link_pacer* pacer = nullptr;
+
+  bool Paced() const { return pacer != nullptr && pacer->Active(); }
+  std::size_t BlockBytes() const { return Paced() ? pacer->BlockBytes() : kBlockBytes; }
+};
+
+/// Waits until the link is free for a block of a long body.
+asio::awaitable<void> AwaitTurn(connection& to, link_pacer& pacer, std::size_t bytes) {
+  const time_point now = Now();
+  const time_point begin = pacer.Book(bytes, now);
+  if (begin <= now) co_return;
+  asio::steady_timer timer(to.stream.get_executor(), begin);
+  co_await timer.async_wait(kAwait);
+}
+
 /// Moves blocks of a body from the parser's stream to the serializer's until both are done. The
 /// sink is the message that the serializer writes; it may be another than the parser's.
 template <bool kIsRequest>
 asio::awaitable<transfer_outcome> TransferBlocks(
     connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, connection& to,
     bhttp::serializer<kIsRequest, bhttp::buffer_body>& serializer,
-    bhttp::message<kIsRequest, bhttp::buffer_body>& sink, milliseconds progress,
-    std::uint64_t& moved) {
+    bhttp::message<kIsRequest, bhttp::buffer_body>& sink, block_pace pace, std::uint64_t& moved) {
   std::vector<char> block;
   do {
     std::size_t size = 0;
     bool more = false;
     if (!parser.is_done()) {
       if (block.empty()) {
-        block.resize(kBlockBytes);
+        block.resize(pace.BlockBytes());
         // Reads are as large as the buffer has room, which starts out small.
         const auto left = parser.content_length_remaining();
-        if (!left || *left > kBlockBytes / 4) from.buffer.reserve(kBlockBytes);
+        if (!left || *left > block.size() / 4) from.buffer.reserve(block.size());
       }
       parser.get().body().data = block.data();
       parser.get().body().size = block.size();
-      from.stream.expires_after(progress);
+      from.stream.expires_after(pace.progress);
       auto [failed, count] =
           co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
       if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kReadFailed;
@@ -98,10 +118,13 @@
       // An empty block would be written as the last chunk and end a body that goes on.
       if (size == 0 && more) continue;
     }
+    if (pace.Paced() && moved + size > kShortAnswerBytes) {
+      co_await AwaitTurn(to, *pace.pacer, size);
+    }
     sink.body().data = size == 0 ? nullptr : block.data();
     sink.body().size = size;
     sink.body().more = more;
-    to.stream.expires_after(progress);
+    to.stream.expires_after(pace.progress);
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
     moved += size;
@@ -116,18 +139,16 @@
 asio::awaitable<transfer_outcome> TransferWhole(
     connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, connection& to,
     bhttp::serializer<kIsRequest, bhttp::buffer_body>& serializer,
-    bhttp::message<kIsRequest, bhttp::buffer_body>& sink, milliseconds progress,
-    std::uint64_t& moved) {
+    bhttp::message<kIsRequest, bhttp::buffer_body>& sink, block_pace pace, std::uint64_t& moved) {
   if (!parser.is_done() && from.buffer.size() == 0 && !serializer.is_header_done()) {
     sink.body().data = nullptr;
     sink.body().more = true;
     serializer.split(true);
-    to.stream.expires_after(progress);
+    to.stream.expires_after(pace.progress);
     auto [failed, count] = co_await bhttp::async_write_header(to.stream, serializer, kAwait);
     if (failed) co_return transfer_outcome::kWriteFailed;
   }
-  co_return co_await TransferBlocks<kIsRequest>(from, parser, to, serializer, sink, progress,
-                                                moved);
+  co_return co_await TransferBlocks<kIsRequest>(from, parser, to, serializer, sink, pace, moved);
 }
 
 }  // namespace
@@ -214,15 +235,16 @@
                                                   connection& to, milliseconds progress) {
   bhttp::request_serializer<bhttp::buffer_body> serializer(parser.get());
   std::uint64_t moved = 0;
-  co_return co_await TransferWhole<true>(from, parser, to, serializer, parser.get(), progress,
-                                         moved);
+  const block_pace pace{progress};
+  co_return co_await TransferWhole<true>(from, parser, to, serializer, parser.get(), pace, moved);
 }
 
 asio::awaitable<transfer_outcome> TransferAnswer(connection& from, response_parser& parser,
                                                  connection& to, answer_writer& writer,
                                                  milliseconds progress) {
-  co_return co_await TransferWhole<false>(from, parser, to, writer.serializer, writer.message,
-                                          progress, writer.body_bytes);
+  const block_pace pace{progress, writer.pacer};
+  co_return co_await TransferWhole<false>(from, parser, to, writer.serializer, writer.message, pace,
+                                          writer.body_bytes);
 }
 
 asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
@@ -240,8 +262,8 @@
     if (failed) co_return transfer_outcome::kWriteFailed;
   }
   std::uint64_t moved = 0;
-  co_return co_await TransferBlocks<true>(from, parser, to, serializer, parser.get(), progress,
-                                          moved);
+  const block_pace pace{progress};
+  co_return co_await TransferBlocks<true>(from, parser, to, serializer, parser.get(), pace, moved);
 }
 
 template <bool kIsRequest>
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -22,6 +22,7 @@
 #include "framework/base/clock.h"
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
+#include "framework/pacing/link_pacer.h"
 #include "proxy/proxy_settings.h"
 
 namespace catkinmoor::proxy_internal {
@@ -88,12 +89,15 @@
 asio::awaitable<transfer_outcome> TransferRequest(connection& from, request_parser& parser,
                                                   connection& to, milliseconds progress);
 
-/// An answer on its way to a caller. When its source breaks off, another can go on with it.
+/// An answer on its way to a caller. When its source breaks off, another can go on with it. A long
+/// one keeps to the pace of the link where there is one.
 struct answer_writer {
-  explicit answer_writer(response_message& of) : message(of), serializer(of) {}
+  explicit answer_writer(response_message& of, link_pacer* by = nullptr)
+      : message(of), serializer(of), pacer(by) {}
 
   response_message& message;
   bhttp::response_serializer<bhttp::buffer_body> serializer;
+  link_pacer* pacer;
   std::uint64_t body_bytes = 0;
 };
 
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -42,6 +42,9 @@
   milliseconds silence_check{1'000};
   std::int64_t pool_idle = 64;
   std::int64_t max_depth = 6;
+  /// Rate of the vm's link in kilobits a second, which long answers to other vms keep to; 0 when it
+  /// needs no care.
+  std::int64_t link_kbps = 0;
   /// Document that holds the routes of every host; empty when each service has its own, which the
   /// first label of the host names.
   std::string mesh_document;
