Read a version that is held already only once; compress it once

Cause: a configuration of 1,150 routes is 250 KB; each daemon is told it by several peers and by comparisons, and hashed and parsed it each time (7 ms), and compressed it for each hop (0.7 ms). Change: a version under a digest that is held is answered before its text is looked at; frames of the last texts are kept; JSON values share one allocation. The new test of the document board fails without the first.

Also: all connections that wait are taken in one turn of the event loop. Not proved: one connection was taken a turn, so that under load those taken first were ones whose callers had given up.

--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -94,6 +94,8 @@
     std::uint64_t last_change = 0;
   };
 
+  /// What becomes of a version that the one held already decides, without reading its text.
+  std::optional<offer_outcome> OfferKnown(const document_version& offered, bool witnessed);
   static void PutInForce(entry& slot);
   offer_outcome Refuse(const document_version& offered, std::string reason);
   shard& ShardOf(const std::string& service) { return shards_[BucketOf(service)]; }
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -18,16 +18,20 @@
   return StableHash(service, 1) % kBuckets;
 }
 
+std::optional<offer_outcome> document_board::OfferKnown(const document_version& offered,
+                                                        bool witnessed) {
+  const active_document_ptr held = Held(offered.service);
+  if (held == nullptr || held->source.version < offered.version) return std::nullopt;
+  if (held->source.version > offered.version) return offer_outcome::kOlder;
+  if (held->source.digest != offered.digest) return std::nullopt;
+  if (witnessed) Witness(offered.service, offered.version);
+  return offer_outcome::kHeld;
+}
+
 offer_outcome document_board::Offer(const document_version& offered, bool witnessed) {
+  // Several peers tell the same news; only the first telling is worth a parse.
+  if (const auto known = OfferKnown(offered, witnessed)) return *known;
   shard& owner = ShardOf(offered.service);
-  {
-    const std::shared_lock<std::shared_mutex> lock(owner.mutex);
-    const auto found = owner.entries.find(offered.service);
-    if (found != owner.entries.end() && found->second.held != nullptr) {
-      const document_version& held = found->second.held->source;
-      if (offered.version < held.version) return offer_outcome::kOlder;
-    }
-  }
   if (Sha256Hex(offered.text) != offered.digest) {
     return Refuse(offered, "the text does not match its digest");
   }
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -128,3 +128,14 @@
     cr_assert(first.BucketHash(i) == second.BucketHash(i));
   }
 }
+
+Test(document_board, offered_what_it_holds_does_not_read_the_text_again) {
+  document_board board;
+  cr_assert(board.Offer(Good(3), false) == offer_outcome::kNews);
+  document_version again = Good(3);
+  again.text.clear();
+  cr_assert(board.Offer(again, false) == offer_outcome::kHeld);
+  cr_assert(InForce(board) == 0);
+  cr_assert(board.Offer(again, true) == offer_outcome::kHeld);
+  cr_assert(InForce(board) == 3);
+}
--- a/src/framework/json/internal/reader.cc
+++ b/src/framework/json/internal/reader.cc
@@ -6,7 +6,7 @@
 #include <boost/json/parser.hpp>
 #include <boost/json/visit.hpp>
 #include <fstream>
-#include <set>
+#include <boost/json/monotonic_resource.hpp>
 #include <sstream>
 
 namespace catkinmoor::json {
@@ -38,7 +38,8 @@
   static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
 
-  std::vector<std::set<std::string>> keys;
+  /// Keys of each open object. Objects have few, so a list is searched faster than a set.
+  std::vector<std::vector<std::string>> keys;
   std::string part;
   std::vector<std::string> duplicates;
 
@@ -60,7 +61,11 @@
   }
   bool on_key(bj::string_view text, std::size_t, bj::error_code&) {
     part.append(text.data(), text.size());
-    if (!keys.back().insert(part).second) duplicates.push_back(part);
+    auto& present = keys.back();
+    if (std::find(present.begin(), present.end(), part) != present.end()) {
+      duplicates.push_back(part);
+    }
+    present.push_back(std::move(part));
     part.clear();
     return true;
   }
@@ -95,7 +100,9 @@
 }
 
 std::variant<bj::value, problems> ParseWithComments(std::string_view text) {
+  // The whole value is freed at once, so its parts need no allocations of their own.
   bj::parser parser({}, Options());
+  parser.reset(bj::make_shared_resource<bj::monotonic_resource>());
   bj::error_code failed;
   const std::size_t consumed = parser.write(text.data(), text.size(), failed);
   if (failed) {
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -3,6 +3,8 @@
 #include <zstd.h>
 
 #include <algorithm>
+#include <deque>
+#include <mutex>
 #include <optional>
 
 namespace catkinmoor::peer_internal {
@@ -18,6 +20,31 @@
   return frame;
 }
 
+/// The frames of the texts that were sent last. Several peers are told the same news.
+class frame_cache {
+ public:
+  std::string FrameOf(const document_version& of) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = std::find_if(frames_.begin(), frames_.end(),
+                                    [&](const auto& each) { return each.first == of.digest; });
+    if (found != frames_.end()) return found->second;
+    if (frames_.size() >= kFrames) frames_.pop_front();
+    frames_.emplace_back(of.digest, Compress(of.text));
+    return frames_.back().second;
+  }
+
+ private:
+  static constexpr std::size_t kFrames = 4;
+
+  std::mutex mutex_;
+  std::deque<std::pair<std::string, std::string>> frames_;
+};
+
+std::string FrameOf(const document_version& of) {
+  static frame_cache cache;
+  return cache.FrameOf(of);
+}
+
 std::optional<std::string> Decompress(const std::string& frame) {
   const auto size = ZSTD_getFrameContentSize(frame.data(), frame.size());
   // Unknown and malformed sizes are the two greatest values, so one comparison refuses them too.
@@ -81,7 +108,7 @@
   to.set_version(from.version);
   to.set_change(from.change);
   to.set_digest(HexToBytes(from.digest));
-  to.set_text(Compress(from.text));
+  to.set_text(FrameOf(from));
 }
 
 void ToWire(const target_announcement& from, wire::Target& to) {
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -92,26 +92,36 @@
   }
 
  private:
+  /// Takes callers' connections. Under load a turn of the event loop takes long, so each turn takes
+  /// all that wait: callers that are not taken soon give up and leave dead connections in line.
   asio::awaitable<void> Accept(asio::ip::tcp::acceptor& acceptor, entry_side side) {
     const auto self = shared_from_this();
+    beast::error_code failed;
+    acceptor.non_blocking(true, failed);
     while (!draining_) {
-      const std::size_t index = workers_.Next();
-      auto [failed, socket] =
-          co_await acceptor.async_accept(workers_.Context(index).get_executor(), kAwait);
+      auto [wait_failed] = co_await acceptor.async_wait(asio::socket_base::wait_read, kAwait);
       if (draining_) co_return;
-      if (failed) {
-        asio::steady_timer pause(workers_.Context(0), kAcceptPause);
-        co_await pause.async_wait(kAwait);
-        continue;
+      failed = wait_failed;
+      while (!failed) {
+        const std::size_t index = workers_.Next();
+        asio::ip::tcp::socket socket(workers_.Context(index));
+        acceptor.accept(socket, failed);
+        if (!failed) StartServing(index, std::move(socket), side);
       }
-      beast::error_code ignored;
-      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      auto caller = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
-      asio::co_spawn(workers_.Context(index), Serve(self, index, std::move(caller), side),
-                     asio::detached);
+      if (failed == asio::error::would_block) continue;
+      asio::steady_timer pause(workers_.Context(0), kAcceptPause);
+      co_await pause.async_wait(kAwait);
     }
   }
 
+  void StartServing(std::size_t worker, asio::ip::tcp::socket socket, entry_side side) {
+    beast::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto caller = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+    asio::co_spawn(workers_.Context(worker),
+                   Serve(shared_from_this(), worker, std::move(caller), side), asio::detached);
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<impl> self, std::size_t worker,
                                      connection_ptr caller, entry_side side) {
     bool keep = true;
