--- a/src/framework/logging/internal/line_writer.cc
+++ b/src/framework/logging/internal/line_writer.cc
@@ -4,12 +4,16 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 
 namespace catkinmoor::logging {
 namespace {
 
 /// Bytes that may wait for a slow reader; some seconds of warnings under full load.
 constexpr std::size_t kQueueBytes = 512U << 10U;
+/// Time in which lines are gathered before they are written together, so that a busy program is not
+/// woken for each.
+constexpr std::chrono::milliseconds kGatherTime{50};
 /// Time that a descriptor may refuse bytes at the end of the program, in milliseconds.
 constexpr int kFarewellMs = 200;
 
@@ -42,6 +46,7 @@
 }
 
 bool line_writer::Write(std::string line) {
+  bool first = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (queued_bytes_ + line.size() > kQueueBytes) {
@@ -49,9 +54,10 @@
       return false;
     }
     queued_bytes_ += line.size();
+    first = lines_.empty();
     lines_.push_back(std::move(line));
   }
-  wake_.notify_one();
+  if (first) wake_.notify_one();
   return true;
 }
 
@@ -67,6 +73,7 @@
     {
       std::unique_lock<std::mutex> lock(mutex_);
       wake_.wait(lock, [&] { return stopping_ || !lines_.empty(); });
+      wake_.wait_for(lock, kGatherTime, [&] { return stopping_; });
       last = stopping_;
       for (const std::string& line : lines_) batch += line;
       lines_.clear();
