Serve requests that came back after first ones; answer malformed bodies

Symptom: under lasting overload of one service most answers came late. Change: the entry learns by route which deadlines callers usually state, so that one who states less has asked before; its objective counts from then. Short bodies in chunks are read before the target is chosen, so that such requests can be sent again and malformed chunk sizes are answered 400 (before: a closed connection).

--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -66,8 +66,9 @@
   /// Sets the rate at which the link carries answers. Zero means that it carries any.
   void SetLink(double bytes_per_ms) { link_bytes_per_ms_ = bytes_per_ms; }
 
-  /// Notes the length of an answer that went over the link.
-  void NoteAnswer(const std::string& route, std::uint64_t bytes);
+  /// Notes the length of an answer that went over the link, and how long the target worked before it
+  /// began to answer.
+  void NoteAnswer(const std::string& route, std::uint64_t bytes, milliseconds work);
 
   /// Turns new and waiting requests away from now on. Yields the waiting ones.
   std::vector<admission_release> Drain();
@@ -100,6 +101,12 @@
  private:
   static constexpr std::size_t kClasses = 4;
 
+  /// Means of a route's answers.
+  struct answer_size {
+    double bytes = 0;
+    double work_ms = 0;
+  };
+
   bool CanRun(const admission_request& request) const;
   bool HasSlot(const admission_request& request) const;
   bool HasLink(const admission_request& request) const;
@@ -116,7 +123,7 @@
   double mean_service_ms_ = 0;
   std::map<std::string, double> service_ms_by_route_;
   double link_bytes_per_ms_ = 0;
-  std::map<std::string, double> answer_bytes_by_route_;
+  std::map<std::string, answer_size> answers_by_route_;
   std::array<std::deque<admission_request>, kClasses> waiting_;
   std::map<std::string, std::int64_t> running_by_route_;
   std::map<std::string, std::int64_t> waiting_by_route_;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -12,9 +12,9 @@
 
 /// Answers of this length or more wait for the link.
 constexpr double kLongAnswerBytes = 16U << 10U;
-/// Time for which the answers of the requests that run together may keep the link busy; more would
-/// only wait for each other, and less would leave the link idle while targets work.
-constexpr double kLinkAheadMs = 300;
+/// Time for which answers may wait for each other at the link. While targets work on as many more
+/// as fill it, the link is not left idle.
+constexpr double kLinkQueueMs = 200;
 
 constexpr std::size_t kRanks = 4;
 
@@ -60,9 +60,9 @@
 
 double admission_queue::LinkMs(const std::string& route) const {
   if (link_bytes_per_ms_ <= 0) return 0;
-  const auto found = answer_bytes_by_route_.find(route);
-  const bool is_long = found != answer_bytes_by_route_.end() && found->second >= kLongAnswerBytes;
-  return is_long ? found->second / link_bytes_per_ms_ : 0;
+  const auto found = answers_by_route_.find(route);
+  const bool is_long = found != answers_by_route_.end() && found->second.bytes >= kLongAnswerBytes;
+  return is_long ? found->second.bytes / link_bytes_per_ms_ : 0;
 }
 
 bool admission_queue::HasLink(const admission_request& request) const {
@@ -72,13 +72,16 @@
   for (const auto& [route, running] : running_by_route_) {
     busy_ms += LinkMs(route) * static_cast<double>(running);
   }
-  return busy_ms == 0 || busy_ms + own_ms <= kLinkAheadMs;
+  const double bound_ms = kLinkQueueMs + answers_by_route_.at(request.route).work_ms;
+  return busy_ms == 0 || busy_ms + own_ms <= bound_ms;
 }
 
-void admission_queue::NoteAnswer(const std::string& route, std::uint64_t bytes) {
-  const auto sample = static_cast<double>(bytes);
-  const auto [mean, first] = answer_bytes_by_route_.try_emplace(route, sample);
-  if (!first) mean->second += kServiceTimeWeight * (sample - mean->second);
+void admission_queue::NoteAnswer(const std::string& route, std::uint64_t bytes, milliseconds work) {
+  const answer_size sample{static_cast<double>(bytes), static_cast<double>(work.count())};
+  const auto [mean, first] = answers_by_route_.try_emplace(route, sample);
+  if (first) return;
+  mean->second.bytes += kServiceTimeWeight * (sample.bytes - mean->second.bytes);
+  mean->second.work_ms += kServiceTimeWeight * (sample.work_ms - mean->second.work_ms);
 }
 
 bool admission_queue::HasSlot(const admission_request& request) const {
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -224,7 +224,7 @@
   admission_queue queue;
   queue.SetSlots(9);
   queue.SetLink(1'000);
-  queue.NoteAnswer("long", 100'000);
+  queue.NoteAnswer("long", 100'000, milliseconds(100));
   return queue;
 }
 
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -114,10 +114,43 @@
     const std::string answer = SendRaw(address, kEntryPort, start + shape);
     Expect(answer.rfind("HTTP/1.1 400", 0) == 0, shape + " -> " + answer.substr(0, 40));
   }
+  for (const std::string size : {"ZZ", "-5", "5;x=\x01", "ffffffffffffffffff"}) {
+    const std::string answer =
+        SendRaw(address, kEntryPort,
+                start + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\nhello\r\n0\r\n\r\n");
+    Expect(answer.rfind("HTTP/1.1 400", 0) == 0, size + " -> " + answer.substr(0, 40));
+  }
   Expect(target.Requests() == 0);
-  const std::string bad_chunk = SendRaw(
-      address, kEntryPort, start + "Transfer-Encoding: chunked\r\n\r\nZZ\r\nhello\r\n0\r\n\r\n");
-  Expect(bad_chunk.find("200 OK") == std::string::npos, bad_chunk);
+}
+
+namespace {
+
+/// A target that answers with the length of the body that it was sent.
+scripted_target::answer CountedBody(const std::string& head) {
+  const std::string text = head.find("chunked") == std::string::npos ? "counted" : "chunked";
+  return {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + text, true};
+}
+
+std::string Chunked(std::size_t chunks, std::size_t bytes) {
+  std::string body;
+  char size[32];
+  for (std::size_t i = 0; i < chunks; ++i) {
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes);
+    body += size + std::string(bytes, 'x') + "\r\n";
+  }
+  return "POST /holds/1 HTTP/1.1\r\nHost: slotboard\r\nTransfer-Encoding: chunked\r\n\r\n" + body +
+         "0\r\n\r\n";
+}
+
+}  // namespace
+
+Test(wire, of_a_short_body_in_chunks_is_passed_on_with_its_length) {
+  fleet subject({.subnet = 128, .vms = 1, .targets = false});
+  const std::string address = subject.Addresses().front();
+  const scripted_target target(address, CountedBody);
+  StartScripted(subject);
+  const std::string answer = SendRaw(address, kEntryPort, Chunked(3, 100));
+  Expect(answer.find("counted") != std::string::npos, answer);
 }
 
 Test(wire, with_a_header_too_large_answers_431) {
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -31,6 +31,7 @@
                  {"route", call.chosen == nullptr ? std::string_view() : call.chosen->name},
                  {"version", VersionOf(call)},
                  {"spent_ms", spent.count()},
+                 {"age_ms", call.age.count()},
                  {"retry_after_ms", answer.retry_after.count()}});
 }
 
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -10,6 +10,7 @@
 #include "framework/base/digest.h"
 #include "proxy/internal/call_carrier.h"
 #include "routing/route_matcher.h"
+#include "routing/usual_deadlines.h"
 
 namespace catkinmoor {
 
@@ -197,6 +198,10 @@
     if (side == entry_side::kTarget || settings_.dialect.callers_state_deadlines) {
       time = std::min(time, milliseconds(given));
     }
+    if (settings_.dialect.callers_state_deadlines && given != INT64_MAX &&
+        call.chosen->kind != route_class::kInternal) {
+      call.age = deadlines_.AgeOf(call.chosen->name, milliseconds(given));
+    }
     if (time.count() <= 0) return NotRun(504, "too-late", "entry", "the deadline has passed");
     call.deadline = call.started + time;
     RemoveHopByHop(message);
@@ -206,6 +211,19 @@
     return std::nullopt;
   }
 
+  /// Reads what a request that can be sent twice may hold of a body.
+  asio::awaitable<body_outcome> ReadBody(connection& caller, request_parser& parser,
+                                         call_state& call) {
+    if (call.caller_expects) {
+      const bool told = co_await SendContinue(caller, settings_.progress_timeout);
+      if (!told) co_return body_outcome::kGone;
+      call.caller_expects = false;
+    }
+    co_return co_await ReadWholeBody(caller, parser,
+                                     static_cast<std::size_t>(settings_.replay_bytes), call.body,
+                                     settings_.progress_timeout);
+  }
+
   asio::awaitable<bool> HandleRequest(entry_worker& worker, connection& caller,
                                       request_parser& parser, entry_side side) {
     call_state call;
@@ -213,17 +231,17 @@
       co_return co_await carrier_.AnswerOwn(caller, parser, call, std::move(*refused));
     }
     const auto length = parser.content_length();
-    call.streams = !parser.is_done() &&
-                   (!length || static_cast<std::int64_t>(*length) > settings_.replay_bytes);
+    call.streams = length && static_cast<std::int64_t>(*length) > settings_.replay_bytes;
     if (!call.streams && !parser.is_done()) {
-      if (call.caller_expects) {
-        const bool told = co_await SendContinue(caller, settings_.progress_timeout);
-        if (!told) co_return false;
+      const body_outcome read = co_await ReadBody(caller, parser, call);
+      if (read == body_outcome::kGone) co_return false;
+      if (read == body_outcome::kMalformed) {
+        call.keep_alive = false;
+        own_answer refused = NotRun(400, "malformed", "read request", "the body is malformed");
+        co_return co_await carrier_.AnswerOwn(caller, parser, call, std::move(refused));
       }
-      const bool whole =
-          co_await ReadWholeBody(caller, parser, static_cast<std::size_t>(settings_.replay_bytes),
-                                 call.body, settings_.progress_timeout);
-      if (!whole) co_return false;
+      // The rest of a long body in chunks is passed on as it arrives.
+      call.streams = read == body_outcome::kTooLong;
     }
     call.fingerprint = Fingerprint(call.service, std::string(parser.get().method_string()),
                                    std::string(parser.get().target()), call.body);
@@ -239,6 +257,7 @@
   entry_board board_;
   proxy_settings settings_;
   std::deque<entry_worker> states_;
+  usual_deadlines deadlines_;
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
   std::atomic<std::size_t> active_ = 0;
   std::atomic<bool> ready_ = false;
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -334,6 +334,7 @@
   asio::awaitable<bool> Answer(std::size_t worker, connection& entry, connection_ptr backend,
                                endpoint where, gate_call call, bool head, bool keep,
                                time_point deadline) {
+    const time_point handed = Now();
     std::optional<response_parser> parser;
     beast::error_code failed;
     bool entry_gone = false;
@@ -371,6 +372,7 @@
                                                    {"message", lost.failure.message}});
       co_return co_await SendOwnAnswer(entry, lost, keep, head, settings_.progress_timeout);
     }
+    const auto work = std::chrono::duration_cast<milliseconds>(Now() - handed);
     const bool reusable = parser->keep_alive();
     const milliseconds usable = IdleTimeOf(parser->get());
     PrepareAnswer(*parser, call.route, keep);
@@ -380,7 +382,9 @@
     } else {
       answer_writer writer(parser->get(), IsOnThisVm(entry) ? nullptr : &pacer_);
       sent = co_await TransferAnswer(*backend, *parser, entry, writer, settings_.progress_timeout);
-      if (sent == transfer_outcome::kWhole) slots_->NoteAnswer(call.route, writer.body_bytes);
+      if (sent == transfer_outcome::kWhole) {
+        slots_->NoteAnswer(call.route, writer.body_bytes, work);
+      }
     }
     if (sent != transfer_outcome::kWhole) {
       Abort(*backend);
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -67,9 +67,9 @@
   queue_.SetLink(bytes_per_ms);
 }
 
-void slot_controller::NoteAnswer(const std::string& route, std::uint64_t bytes) {
+void slot_controller::NoteAnswer(const std::string& route, std::uint64_t bytes, milliseconds work) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  queue_.NoteAnswer(route, bytes);
+  queue_.NoteAnswer(route, bytes, work);
 }
 
 void slot_controller::Drain() {
--- a/src/proxy/internal/slot_controller.h
+++ b/src/proxy/internal/slot_controller.h
@@ -49,7 +49,7 @@
 
   void SetSlots(std::uint32_t slots);
   void SetLink(double bytes_per_ms);
-  void NoteAnswer(const std::string& route, std::uint64_t bytes);
+  void NoteAnswer(const std::string& route, std::uint64_t bytes, milliseconds work);
   void Drain();
 
   /// Present use, for reports to entries on an answer of a route.
--- a/src/proxy/internal/stream_http.cc
+++ b/src/proxy/internal/stream_http.cc
@@ -248,7 +248,8 @@
 }
 
 asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
-                                               connection& to, milliseconds progress) {
+                                               connection& to, const std::string& begin,
+                                               milliseconds progress) {
   bhttp::request_serializer<bhttp::buffer_body> serializer(parser.get());
   serializer.split(true);
   parser.get().body().data = nullptr;
@@ -261,20 +262,29 @@
     });
     if (failed) co_return transfer_outcome::kWriteFailed;
   }
+  if (!begin.empty()) {
+    std::string block = begin;
+    parser.get().body().data = block.data();
+    parser.get().body().size = block.size();
+    to.stream.expires_after(progress);
+    auto [write_failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
+    const bool goes_on = !write_failed || write_failed == bhttp::error::need_buffer;
+    if (!goes_on) co_return transfer_outcome::kWriteFailed;
+  }
   std::uint64_t moved = 0;
   const block_pace pace{progress};
   co_return co_await TransferBlocks<true>(from, parser, to, serializer, parser.get(), pace, moved);
 }
 
 template <bool kIsRequest>
-asio::awaitable<bool> ReadWholeBody(connection& from,
-                                    bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
-                                    std::size_t bound, std::string& body, milliseconds progress) {
+asio::awaitable<body_outcome> ReadWholeBody(connection& from,
+                                            bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                            std::size_t bound, std::string& body,
+                                            milliseconds progress) {
   while (!parser.is_done()) {
     const std::size_t used = body.size();
-    if (used > bound) co_return false;
+    if (used > bound) co_return body_outcome::kTooLong;
     const std::size_t room = std::min(bound + 1 - used, kBlockBytes / 4);
-    if (room == 0) co_return false;
     body.resize(used + room);
     parser.get().body().data = body.data() + used;
     parser.get().body().size = room;
@@ -282,19 +292,23 @@
     auto [failed, count] =
         co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
     body.resize(used + room - parser.get().body().size);
-    if (failed && failed != bhttp::error::need_buffer) co_return false;
+    if (failed && failed != bhttp::error::need_buffer) {
+      co_return IsMalformed(failed) ? body_outcome::kMalformed : body_outcome::kGone;
+    }
   }
-  co_return body.size() <= bound;
+  co_return body.size() <= bound ? body_outcome::kWhole : body_outcome::kTooLong;
 }
 
-template asio::awaitable<bool> ReadWholeBody<true>(connection&, request_parser&, std::size_t,
-                                                   std::string&, milliseconds);
-template asio::awaitable<bool> ReadWholeBody<false>(connection&, response_parser&, std::size_t,
-                                                    std::string&, milliseconds);
+template asio::awaitable<body_outcome> ReadWholeBody<true>(connection&, request_parser&,
+                                                           std::size_t, std::string&, milliseconds);
+template asio::awaitable<body_outcome> ReadWholeBody<false>(connection&, response_parser&,
+                                                            std::size_t, std::string&,
+                                                            milliseconds);
 
 asio::awaitable<bool> DropBody(connection& from, request_parser& parser, milliseconds progress) {
   std::string dropped;
-  co_return co_await ReadWholeBody(from, parser, kDropBytes, dropped, progress);
+  const body_outcome read = co_await ReadWholeBody(from, parser, kDropBytes, dropped, progress);
+  co_return read == body_outcome::kWhole;
 }
 
 asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout) {
--- a/src/proxy/internal/stream_http.h
+++ b/src/proxy/internal/stream_http.h
@@ -106,15 +106,22 @@
                                                  connection& to, answer_writer& writer,
                                                  milliseconds progress);
 
-/// Sends the body alone, for a request whose header has been sent already.
+/// Sends the body alone, for a request whose header has been sent already. It begins with what has
+/// been read of it.
 asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
-                                               connection& to, milliseconds progress);
+                                               connection& to, const std::string& begin,
+                                               milliseconds progress);
 
-/// Reads the rest of a body into a string, up to a bound. False when it is longer or breaks off.
+/// How the reading of a body ended.
+enum class body_outcome { kWhole, kTooLong, kMalformed, kGone };
+
+/// Reads the rest of a body into a string. Of one that is longer than the bound, a little more than
+/// the bound is read.
 template <bool kIsRequest>
-asio::awaitable<bool> ReadWholeBody(connection& from,
-                                    bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
-                                    std::size_t bound, std::string& body, milliseconds progress);
+asio::awaitable<body_outcome> ReadWholeBody(connection& from,
+                                            bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                            std::size_t bound, std::string& body,
+                                            milliseconds progress);
 
 /// Reads and drops the rest of a request's body, so that the connection can be used again. False
 /// when that is not worth while.
--- a/src/proxy/internal/target_answers.cc
+++ b/src/proxy/internal/target_answers.cc
@@ -59,7 +59,9 @@
   // An answer without a length ends with its connection.
   if (parser.need_eof()) co_return false;
   std::string dropped;
-  co_return co_await ReadWholeBody(backend, parser, kPassedBytes, dropped, progress);
+  const body_outcome read =
+      co_await ReadWholeBody(backend, parser, kPassedBytes, dropped, progress);
+  co_return read == body_outcome::kWhole;
 }
 
 }  // namespace catkinmoor::proxy_internal
