--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -19,7 +19,7 @@
 std::optional<milliseconds> attempt_sender::ObjectiveOf(const call_state& call) {
   if (call.chosen->target_latency.count() == 0) return std::nullopt;
   const auto spent = std::chrono::duration_cast<milliseconds>(Now() - call.started);
-  return call.chosen->target_latency - call.age - spent;
+  return call.chosen->target_latency - spent;
 }
 
 asio::awaitable<request_fate> attempt_sender::AskGate(member_record target, std::string attempt_id,
--- a/src/proxy/internal/call_carrier.cc
+++ b/src/proxy/internal/call_carrier.cc
@@ -19,6 +19,7 @@
 
 void LogOwnAnswer(const call_state& call, const own_answer& answer) {
   const auto spent = std::chrono::duration_cast<milliseconds>(Now() - call.started);
+  const auto given = std::chrono::duration_cast<milliseconds>(call.deadline - call.started);
   logging::Info("request not served",
                 {{"request", call.request_id},
                  {"status", static_cast<std::int64_t>(answer.status)},
@@ -31,7 +32,7 @@
                  {"route", call.chosen == nullptr ? std::string_view() : call.chosen->name},
                  {"version", VersionOf(call)},
                  {"spent_ms", spent.count()},
-                 {"age_ms", call.age.count()},
+                 {"deadline_ms", given.count()},
                  {"retry_after_ms", answer.retry_after.count()}});
 }
 
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -22,8 +22,6 @@
   active_document_ptr content;
   const route* chosen = nullptr;
   time_point started;
-  /// Time since the caller asked first, where it has come back.
-  milliseconds age{0};
   time_point deadline;
   std::int64_t depth = 0;
   std::string body;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -10,7 +10,6 @@
 #include "framework/base/digest.h"
 #include "proxy/internal/call_carrier.h"
 #include "routing/route_matcher.h"
-#include "routing/usual_deadlines.h"
 
 namespace catkinmoor {
 
@@ -198,10 +197,6 @@
     if (side == entry_side::kTarget || settings_.dialect.callers_state_deadlines) {
       time = std::min(time, milliseconds(given));
     }
-    if (settings_.dialect.callers_state_deadlines && given != INT64_MAX &&
-        call.chosen->kind != route_class::kInternal) {
-      call.age = deadlines_.AgeOf(call.chosen->name, milliseconds(given));
-    }
     if (time.count() <= 0) return NotRun(504, "too-late", "entry", "the deadline has passed");
     call.deadline = call.started + time;
     RemoveHopByHop(message);
@@ -257,7 +252,6 @@
   entry_board board_;
   proxy_settings settings_;
   std::deque<entry_worker> states_;
-  usual_deadlines deadlines_;
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
   std::atomic<std::size_t> active_ = 0;
   std::atomic<bool> ready_ = false;
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -3,7 +3,6 @@
 #include "routing/retry_policy.h"
 #include "routing/route_matcher.h"
 #include "routing/target_selector.h"
-#include "routing/usual_deadlines.h"
 
 #include <criterion/criterion.h>
 
@@ -259,23 +258,3 @@
     RC_ASSERT(retries <= settings.ratio * first_tries + settings.least_per_second * (seconds + 1));
   }));
 }
-
-Test(usual_deadlines, with_callers_that_come_back_tell_how_long_ago_they_asked_first) {
-  catkinmoor::usual_deadlines deadlines;
-  for (int i = 0; i < 300; ++i) {
-    cr_assert(deadlines.AgeOf("r", milliseconds(5'000)) == milliseconds(0));
-    deadlines.AgeOf("r", milliseconds(3'000 + 7 * i));
-  }
-  cr_assert(deadlines.AgeOf("r", milliseconds(4'400)) == milliseconds(600));
-  cr_assert(deadlines.AgeOf("other", milliseconds(4'400)) == milliseconds(0));
-}
-
-Test(usual_deadlines, with_one_caller_that_waits_for_ever_stay_usual_for_the_others) {
-  catkinmoor::usual_deadlines deadlines;
-  for (int i = 0; i < 300; ++i) {
-    if (i % 20 == 0) deadlines.AgeOf("r", milliseconds(3'600'000));
-    const milliseconds patient = deadlines.AgeOf("r", milliseconds(5'000));
-    const milliseconds hurried = deadlines.AgeOf("r", milliseconds(1'000));
-    cr_assert(i < 20 || (patient == milliseconds(0) && hurried == milliseconds(0)));
-  }
-}
