--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -131,12 +131,13 @@
   return {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" + text, true};
 }
 
+/// A body of numbered chunks, each told apart from its neighbours.
 std::string Chunked(std::size_t chunks, std::size_t bytes) {
   std::string body;
   char size[32];
   for (std::size_t i = 0; i < chunks; ++i) {
     std::snprintf(size, sizeof(size), "%zx\r\n", bytes);
-    body += size + std::string(bytes, 'x') + "\r\n";
+    body += size + std::string(bytes, static_cast<char>('a' + i % 26)) + "\r\n";
   }
   return "POST /holds/1 HTTP/1.1\r\nHost: slotboard\r\nTransfer-Encoding: chunked\r\n\r\n" + body +
          "0\r\n\r\n";
@@ -144,6 +145,18 @@
 
 }  // namespace
 
+Test(wire, of_a_long_body_in_chunks_arrives_whole) {
+  fleet subject({.subnet = 168, .vms = 1});
+  const std::string address = subject.Addresses().front();
+  subject.Start();
+  Expect(subject.Put(address, SlotboardDocument(), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(address, 1);
+  // Beyond what is kept so that it can be sent twice, and not a whole number of blocks.
+  const std::string answer = SendRaw(address, kEntryPort, Chunked(41, 9'001));
+  Expect(answer.find("\"body_bytes\":" + std::to_string(41 * 9'001)) != std::string::npos, answer);
+}
+
 Test(wire, of_a_short_body_in_chunks_is_passed_on_with_its_length) {
   fleet subject({.subnet = 128, .vms = 1, .targets = false});
   const std::string address = subject.Addresses().front();
