--- a/buildscripts/mutants.sh
+++ b/buildscripts/mutants.sh
@@ -42,6 +42,11 @@
 neighbours-floor|src/distribution/internal/join_controller.cc|s/const std::size_t met = co_await MeetPeers\(std::move\(known\)\);/const std::size_t met = 3;/; s/std::size_t met = co_await MeetPeers\(std::move\(known\)\);/std::size_t met = 3;/|distribution_process_test|*/*from_the_past*
 unheard|src/distribution/internal/status_controller.cc|s/AddUnheard\(report, \*board_.members.View\(\)\);//|distribution_process_test|*/with_a_daemon_paused*
 silence|src/proxy/internal/attempt_sender.cc|s/wait->gate->stream.cancel\(\);//|links_process_test|*/with_connections_gone*
+link-bound|src/admission/internal/admission_queue.cc|s/own_ms <= bound_ms/own_ms <= 1e9/|admission_test|*
+held-once|src/distribution/internal/document_board.cc|s/if \(const auto known = OfferKnown\(offered, witnessed\)\) return \*known;//|document_board_test|*
+any-host|src/document/internal/document.cc|s/if \(!later.hosts.empty\(\)\) hosts.push_back\(kAnyHost\);//|document_test|*
+pace|src/framework/pacing/internal/link_pacer.cc|s/free_at_ = begin \+/free_at_ = begin + 0 */|link_pacer_test|*
+chunk-begin|src/proxy/internal/stream_http.cc|s/if \(!begin.empty\(\)\)/if (false)/|wire_process_test|*/*long_body_in_chunks*
 graceful-stop|src/daemon/internal/daemon.cc|s/asio::co_spawn\(control_, StopGracefully\(\), asio::detached\);/control_.stop();/|serving_process_test|*/with_every_daemon_stopped*
 TABLE
 )
--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -66,8 +66,8 @@
   /// Sets the rate at which the link carries answers. Zero means that it carries any.
   void SetLink(double bytes_per_ms) { link_bytes_per_ms_ = bytes_per_ms; }
 
-  /// Notes the length of an answer that went over the link, and how long the target worked before it
-  /// began to answer.
+  /// Notes the length of an answer that went over the link, and how long the target worked before
+  /// it began to answer.
   void NoteAnswer(const std::string& route, std::uint64_t bytes, milliseconds work);
 
   /// Turns new and waiting requests away from now on. Yields the waiting ones.
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -115,9 +115,11 @@
     Expect(answer.rfind("HTTP/1.1 400", 0) == 0, shape + " -> " + answer.substr(0, 40));
   }
   for (const std::string size : {"ZZ", "-5", "5;x=\x01", "ffffffffffffffffff"}) {
-    const std::string answer =
-        SendRaw(address, kEntryPort,
-                start + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\nhello\r\n0\r\n\r\n");
+    std::string request = start;
+    request += "Transfer-Encoding: chunked\r\n\r\n";
+    request += size;
+    request += "\r\nhello\r\n0\r\n\r\n";
+    const std::string answer = SendRaw(address, kEntryPort, request);
     Expect(answer.rfind("HTTP/1.1 400", 0) == 0, size + " -> " + answer.substr(0, 40));
   }
   Expect(target.Requests() == 0);
