--- a/src/framework/json/internal/reader.cc
+++ b/src/framework/json/internal/reader.cc
@@ -38,7 +38,7 @@
   static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
 
-  /// Keys of each open object. Objects have few, so a list is searched faster than a set.
+  /// Keys of each open object, compared when it ends: cheaper than a set, and not slow for many.
   std::vector<std::vector<std::string>> keys;
   std::string part;
   std::vector<std::string> duplicates;
@@ -50,6 +50,11 @@
     return true;
   }
   bool on_object_end(std::size_t, bj::error_code&) {
+    auto& present = keys.back();
+    std::sort(present.begin(), present.end());
+    for (std::size_t i = 1; i < present.size(); ++i) {
+      if (present[i] == present[i - 1]) duplicates.push_back(present[i]);
+    }
     keys.pop_back();
     return true;
   }
@@ -61,11 +66,7 @@
   }
   bool on_key(bj::string_view text, std::size_t, bj::error_code&) {
     part.append(text.data(), text.size());
-    auto& present = keys.back();
-    if (std::find(present.begin(), present.end(), part) != present.end()) {
-      duplicates.push_back(part);
-    }
-    present.push_back(std::move(part));
+    keys.back().push_back(std::move(part));
     part.clear();
     return true;
   }
