Refuse messages that were meant for another vm

Cause: a spread message names a segment of the ring relative to its recipient. A newcomer at the recipient's address computes the segment from its own place, which wraps around nearly the whole ring, and forwards to everyone, also to other gone vms, that is to other newcomers: messages with whole documents multiply. Change: spread and probe messages name their recipient; another vm takes nothing of it and says so, the sender goes to the next candidate, and a probe answered by another vm counts as not answered.

--- a/src/distribution/internal/join_controller.cc
+++ b/src/distribution/internal/join_controller.cc
@@ -156,9 +156,9 @@
   for (const member_ptr& each : neighbours) {
     if (stopping_) break;
     const probe_request probe{deps_.self.Get().vm, exchange_.DocumentHash(), exchange_.MemberHash(),
-                              ""};
+                              "", each->vm};
     auto reply = co_await peers_.Probe(each->control, probe, kProbeTimeout);
-    if (!Ok(reply)) continue;
+    if (!Ok(reply) || !Value(reply).reached) continue;
     bool same = Value(reply).document_hash == exchange_.DocumentHash();
     if (!same) {
       const auto reconciled = co_await exchange_.Reconcile(*each);
--- a/src/distribution/internal/membership_controller.cc
+++ b/src/distribution/internal/membership_controller.cc
@@ -70,8 +70,8 @@
   return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
 }
 
-probe_request membership_controller::MakeProbe() const {
-  return {deps_.self.Get().vm, exchange_.DocumentHash(), exchange_.MemberHash(), ""};
+probe_request membership_controller::MakeProbe(const std::string& recipient) const {
+  return {deps_.self.Get().vm, exchange_.DocumentHash(), exchange_.MemberHash(), "", recipient};
 }
 
 void membership_controller::AnnounceVerdicts(const std::vector<detector_verdict>& verdicts) {
@@ -93,8 +93,9 @@
     member = detector_.NextToProbe(*deps_.members.View(), deps_.self.Get().data_centre);
   }
   if (member == nullptr) co_return;
-  auto reply = co_await peers_.Probe(member->control, MakeProbe(), settings_.probe_timeout);
-  bool reached = Ok(reply);
+  auto reply =
+      co_await peers_.Probe(member->control, MakeProbe(member->vm), settings_.probe_timeout);
+  bool reached = Ok(reply) && Value(reply).reached;
   if (!reached) reached = co_await ProbeIndirectly(*member);
   if (!reached) {
     std::vector<detector_verdict> verdicts;
@@ -110,7 +111,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     detector_.OnProbeSucceeded(member->vm);
   }
-  if (!Ok(reply)) co_return;
+  if (!Ok(reply) || !Value(reply).reached) co_return;
   const bool same = Value(reply).document_hash == exchange_.DocumentHash() &&
                     Value(reply).member_hash == exchange_.MemberHash();
   if (!same) co_await exchange_.Reconcile(*member);
@@ -123,7 +124,7 @@
     probers = detector_.IndirectProbers(*deps_.members.View(), member, kIndirectProbers);
   }
   for (const member_ptr& prober : probers) {
-    probe_request message = MakeProbe();
+    probe_request message = MakeProbe(prober->vm);
     message.on_behalf_of = member.vm;
     // Twice the timeout, as the prober has to wait for its own probe.
     auto reply = co_await peers_.Probe(prober->control, message, settings_.probe_timeout * 2);
@@ -159,8 +160,8 @@
 
 asio::awaitable<void> membership_controller::ReconcileIfDifferent(member_record member,
                                                                   milliseconds timeout) {
-  auto reply = co_await peers_.Probe(member.control, MakeProbe(), timeout);
-  if (!Ok(reply)) co_return;
+  auto reply = co_await peers_.Probe(member.control, MakeProbe(member.vm), timeout);
+  if (!Ok(reply) || !Value(reply).reached) co_return;
   const bool same = Value(reply).document_hash == exchange_.DocumentHash() &&
                     Value(reply).member_hash == exchange_.MemberHash();
   if (!same) co_await exchange_.Reconcile(member);
@@ -168,13 +169,17 @@
 
 asio::awaitable<probe_reply> membership_controller::OnProbe(probe_request message) {
   probe_reply reply{true, exchange_.DocumentHash(), exchange_.MemberHash()};
+  if (!message.recipient.empty() && message.recipient != deps_.self.Get().vm) {
+    reply.reached = false;
+    co_return reply;
+  }
   if (!message.on_behalf_of.empty()) {
     const member_ptr member = deps_.members.Find(message.on_behalf_of);
     reply.reached = false;
     if (member != nullptr) {
       auto indirect_reply =
-          co_await peers_.Probe(member->control, MakeProbe(), settings_.probe_timeout);
-      reply.reached = Ok(indirect_reply);
+          co_await peers_.Probe(member->control, MakeProbe(member->vm), settings_.probe_timeout);
+      reply.reached = Ok(indirect_reply) && Value(indirect_reply).reached;
     }
   }
   co_return reply;
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -73,9 +73,10 @@
     if (remaining.count() <= 0) break;
     spread_request message = MakeSpread({spread_range::kRingSegment, each->vm});
     message.members.push_back(self);
+    message.recipient = each->vm;
     const auto reply = co_await peers_.Spread(each->control, std::move(message),
                                               std::min(remaining, time / kNeighboursToShareWith));
-    if (Ok(reply)) co_return true;
+    if (Ok(reply) && !Value(reply).misdirected) co_return true;
   }
   co_return false;
 }
@@ -203,9 +204,10 @@
   const std::string own_data_centre = message.sender_data_centre;
   for (const auto& candidate : hop.candidates) {
     message.scope = candidate.scope;
+    message.recipient = candidate.member->vm;
     auto reply =
         co_await peers_.Spread(candidate.member->control, message, settings_.spread_timeout);
-    if (!Ok(reply)) {
+    if (!Ok(reply) || Value(reply).misdirected) {
       deps_.metrics.IncrementCounter("catkinmoor_spread_failures_total");
       continue;
     }
@@ -223,6 +225,12 @@
 asio::awaitable<spread_reply> record_exchange::OnSpread(spread_request message) {
   const member_record self = deps_.self.Get();
   spread_reply reply;
+  if (!message.recipient.empty() && message.recipient != self.vm) {
+    // The scope is relative to the recipient's place on the ring. From another place it would cover
+    // most of the ring, so that messages would circulate and multiply.
+    reply.misdirected = true;
+    co_return reply;
+  }
   const bool witnessed = message.sender_data_centre == self.data_centre;
   record_batch updates =
       Merge(message.documents, message.members, witnessed, &reply.refused_services);
--- a/src/distribution/membership_controller.h
+++ b/src/distribution/membership_controller.h
@@ -38,7 +38,7 @@
 
   boost::asio::awaitable<void> ReconcileIfDifferent(member_record member, milliseconds timeout);
   void AnnounceVerdicts(const std::vector<detector_verdict>& verdicts);
-  probe_request MakeProbe() const;
+  probe_request MakeProbe(const std::string& recipient) const;
   std::size_t RandomIndex(std::size_t count);
 
   boost::asio::io_context& context_;
--- a/src/distribution/tests/join_controller_test.cc
+++ b/src/distribution/tests/join_controller_test.cc
@@ -1,11 +1,4 @@
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <deque>
-#include <map>
-
-#include "distribution/join_controller.h"
-#include "store/repository_source.h"
-#include "store/stub/memory_platform.h"
+#include "distribution/tests/in_process_fleet.h"
 
 #include <criterion/criterion.h>
 
@@ -13,107 +6,8 @@
 
 namespace asio = boost::asio;
 
-using catkinmoor::compare_reply;
-using catkinmoor::compare_request;
-using catkinmoor::distribution_dependencies;
-using catkinmoor::endpoint;
-using catkinmoor::error;
-using catkinmoor::error_kind;
-using catkinmoor::fence_reply;
-using catkinmoor::fence_request;
-using catkinmoor::gather_reply;
-using catkinmoor::gather_request;
-using catkinmoor::member_record;
-using catkinmoor::milliseconds;
-using catkinmoor::probe_reply;
-using catkinmoor::probe_request;
-using catkinmoor::result;
-using catkinmoor::spread_reply;
-using catkinmoor::spread_request;
-using catkinmoor::transfer_reply;
-using catkinmoor::transfer_request;
-
-struct node;
-
-/// Delivers messages directly to the node at an endpoint, on one thread.
-class in_process_peers : public catkinmoor::peer_client {
- public:
-  std::map<endpoint, node*> nodes;
-
-  asio::awaitable<result<spread_reply>> Spread(endpoint, spread_request, milliseconds) override;
-  asio::awaitable<result<probe_reply>> Probe(endpoint, probe_request, milliseconds) override;
-  asio::awaitable<result<compare_reply>> Compare(endpoint, compare_request, milliseconds) override;
-  asio::awaitable<result<transfer_reply>> Transfer(endpoint, transfer_request,
-                                                   milliseconds) override;
-  asio::awaitable<result<gather_reply>> Gather(endpoint, gather_request, milliseconds) override {
-    co_return error{error_kind::kUnavailable, "gather", "", "not supported by this stub"};
-  }
-  asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request, milliseconds) override {
-    co_return error{error_kind::kUnavailable, "fence", "", "not supported by this stub"};
-  }
-};
-
-member_record RecordOf(const std::string& vm, std::uint16_t port) {
-  member_record record;
-  record.vm = vm;
-  record.region = "r";
-  record.data_centre = "d";
-  record.control = {"10.0.0.1", port};
-  record.version = {1, 1, catkinmoor::member_state::kAlive};
-  return record;
-}
-
-/// The distribution part of one daemon.
-struct node {
-  node(asio::io_context& context, catkinmoor::memory_platform& platform, in_process_peers& peers,
-       const std::string& vm, std::uint16_t port)
-      : self(RecordOf(vm, port)),
-        strategy(catkinmoor::MakeSpreadStrategy("tree", 1)),
-        exchange(context, deps, peers, *strategy, {}),
-        repository(platform),
-        documents_source(repository),
-        source(context, deps, documents_source, exchange, *strategy, {}, 1),
-        join(context, deps, platform, peers, exchange, source, {}, {}, 1) {
-    peers.nodes[self.Get().control] = this;
-  }
-
-  catkinmoor::document_board documents;
-  catkinmoor::member_table members;
-  catkinmoor::self_record self;
-  catkinmoor::quarantine_board quarantine;
-  catkinmoor::metrics::registry metrics;
-  distribution_dependencies deps{documents, members, self, quarantine, metrics};
-  std::unique_ptr<catkinmoor::spread_strategy> strategy;
-  catkinmoor::record_exchange exchange;
-  catkinmoor::document_repository repository;
-  catkinmoor::repository_source documents_source;
-  catkinmoor::source_controller source;
-  catkinmoor::join_controller join;
-};
-
-asio::awaitable<result<spread_reply>> in_process_peers::Spread(endpoint address,
-                                                               spread_request message,
-                                                               milliseconds) {
-  spread_reply reply = co_await nodes.at(address)->exchange.OnSpread(std::move(message));
-  co_return reply;
-}
-asio::awaitable<result<probe_reply>> in_process_peers::Probe(endpoint address, probe_request,
-                                                             milliseconds) {
-  node& peer = *nodes.at(address);
-  co_return probe_reply{true, peer.exchange.DocumentHash(), peer.exchange.MemberHash()};
-}
-asio::awaitable<result<compare_reply>> in_process_peers::Compare(endpoint address,
-                                                                 compare_request message,
-                                                                 milliseconds) {
-  compare_reply reply = co_await nodes.at(address)->exchange.OnCompare(std::move(message));
-  co_return reply;
-}
-asio::awaitable<result<transfer_reply>> in_process_peers::Transfer(endpoint address,
-                                                                   transfer_request message,
-                                                                   milliseconds) {
-  transfer_reply reply = co_await nodes.at(address)->exchange.OnTransfer(std::move(message));
-  co_return reply;
-}
+using catkinmoor::distribution_tests::in_process_peers;
+using catkinmoor::distribution_tests::node;
 
 }  // namespace
 
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -212,6 +212,7 @@
 void ToWire(const spread_request& from, wire::SpreadRequest& to) {
   to.set_sender(from.sender);
   to.set_sender_data_centre(from.sender_data_centre);
+  to.set_recipient(from.recipient);
   ToWire(from.scope, *to.mutable_scope());
   DocumentsToWire(from.documents, *to.mutable_documents());
   MembersToWire(from.members, *to.mutable_members());
@@ -227,6 +228,7 @@
 void FromWire(const wire::SpreadRequest& from, spread_request& to) {
   to.sender = from.sender();
   to.sender_data_centre = from.sender_data_centre();
+  to.recipient = from.recipient();
   to.scope = FromWire(from.scope());
   DocumentsFromWire(from.documents(), to.documents);
   MembersFromWire(from.members(), to.members);
@@ -237,10 +239,12 @@
 
 void ToWire(const spread_reply& from, wire::SpreadReply& to) {
   CopyToWire(from.refused_services, *to.mutable_refused_services());
+  to.set_misdirected(from.misdirected);
 }
 
 void FromWire(const wire::SpreadReply& from, spread_reply& to) {
   CopyFromWire(from.refused_services(), to.refused_services);
+  to.misdirected = from.misdirected();
 }
 
 void ToWire(const probe_request& from, wire::ProbeRequest& to) {
@@ -248,10 +252,12 @@
   to.set_document_hash(from.document_hash);
   to.set_member_hash(from.member_hash);
   to.set_on_behalf_of(from.on_behalf_of);
+  to.set_recipient(from.recipient);
 }
 
 void FromWire(const wire::ProbeRequest& from, probe_request& to) {
-  to = {from.sender(), from.document_hash(), from.member_hash(), from.on_behalf_of()};
+  to = {from.sender(), from.document_hash(), from.member_hash(), from.on_behalf_of(),
+        from.recipient()};
 }
 
 void ToWire(const probe_reply& from, wire::ProbeReply& to) {
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -34,6 +34,8 @@
   std::vector<document_version> documents;
   std::vector<member_record> members;
   std::vector<crash_report> crashes;
+  /// The vm that the message is meant for; empty when unknown.
+  std::string recipient;
 
   friend bool operator==(const spread_request&, const spread_request&) = default;
 };
@@ -41,6 +43,9 @@
 /// Confirms that the receiver holds everything sent except the documents of refused services.
 struct spread_reply {
   std::vector<std::string> refused_services;
+  /// Whether the message was meant for another vm, so that nothing of it was taken. The address of
+  /// a vm that is gone may be given to a new one.
+  bool misdirected = false;
 
   friend bool operator==(const spread_reply&, const spread_reply&) = default;
 };
@@ -52,11 +57,14 @@
   std::uint64_t document_hash = 0;
   std::uint64_t member_hash = 0;
   std::string on_behalf_of;
+  /// The vm that is probed; empty when unknown.
+  std::string recipient;
 
   friend bool operator==(const probe_request&, const probe_request&) = default;
 };
 
 struct probe_reply {
+  /// Whether the vm that is probed responded; false if the receiver is another vm.
   bool reached = true;
   std::uint64_t document_hash = 0;
   std::uint64_t member_hash = 0;
