Count retries in a sliding window instead of a bucket smaller than one

Trace: every 'attempt failed' line with reason target-refused says 'say-not-run' next; no other reason does. Cause: the capacity of a daemon's token bucket is the fleet's burst divided by the daemons. Where that is less than 1 (36 daemons share a burst for fewer), no token is ever whole and no retry is ever allowed. Change: retries of a service are counted against its first attempts within the same sliding window of ten seconds (the users' own rule), plus the daemon's share of the burst; limits that hold in each daemon add up for any fleet. Retries that may run a request again get half of it. A gate that refuses shields its target, so a retry after its refusal takes nothing from the budget.

--- a/src/document/document.h
+++ b/src/document/document.h
@@ -86,9 +86,11 @@
 struct retry_budget_settings {
   double ratio = 0.2;
   double min_per_second = 1;
-  /// Capacity of the retry token buckets of the whole fleet, divided equally among its daemons;
-  /// negative when each daemon derives its own capacity.
+  /// Retries that the whole fleet may make in each window beyond the ratio, divided equally among
+  /// its daemons; none when negative.
   double fleet_burst = -1;
+  /// Sliding window in which retries are compared with first attempts.
+  milliseconds window{10'000};
 
   friend bool operator==(const retry_budget_settings&, const retry_budget_settings&) = default;
 };
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -148,14 +148,17 @@
      "Ramp-up time of a new target's share, in milliseconds.", false, 0, kMaxDurationMs},
 }};
 
-const std::array<field<retry_budget_settings>, 3> kBudgetFields = {{
+const std::array<field<retry_budget_settings>, 4> kBudgetFields = {{
     {"ratio", &retry_budget_settings::ratio, "Retries as a fraction of first attempts.", false, 0,
      1},
     {"least_per_second", &retry_budget_settings::min_per_second,
      "Retries per second that are always allowed.", false, 0, 1'000},
     {"fleet_burst", &retry_budget_settings::fleet_burst,
-     "Retry burst of the whole fleet; negative for a separate burst in each daemon.", false, -1,
-     kMaxFleetBurst},
+     "Retries per window that the whole fleet may make beyond the ratio; none when negative.", false,
+     -1, kMaxFleetBurst},
+    {"window_ms", &retry_budget_settings::window,
+     "Window in which retries are compared with first attempts, in milliseconds.", false, 100,
+     kMaxDurationMs},
 }};
 
 void ReadTargets(const bj::value& from, const std::string& pointer, document& to, problems& found) {
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -13,6 +13,7 @@
 #include "proxy/worker_pool.h"
 #include "quarantine/quarantine_board.h"
 #include "routing/load_board.h"
+#include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 
 namespace catkinmoor {
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -128,6 +128,7 @@
     }
     state.body_replayable = state.body_replayable && !attempt.body_consumed;
     state.gate_queried = attempt.gate_queried;
+    state.reached_target = attempt.reason == kReasonTargetRefused;
     if (attempt.reason == kReasonTargetCrashed) ++crashes;
     next_step next = DecideNextStep(call, state, attempt.outcome);
     // A request that has crashed two targets is not tried on a third.
@@ -174,8 +175,10 @@
                                           attempt_outcome outcome) {
   state.outcome = outcome;
   state.time_left = TimeLeft(call);
+  const retry_kind kind =
+      outcome == attempt_outcome::kRefusedOverload ? retry_kind::kNotRun : retry_kind::kMayHaveRun;
   return DecideNext(*call.matched_route, state, [&] {
-    return deps_.budget.TryTake(call.service, call.document->content.retry_budget, Now());
+    return deps_.budget.TryTake(call.service, call.document->content.retry_budget, kind, Now());
   });
 }
 
@@ -275,7 +278,8 @@
   transfer_outcome transfer = transfer_outcome::kReadFailed;
   for (int resumes = 0; resumes < kMaxResumes && transfer == transfer_outcome::kReadFailed;
        ++resumes) {
-    if (!deps_.budget.TryTake(call.service, content.retry_budget, Now())) break;
+    if (!deps_.budget.TryTake(call.service, content.retry_budget, retry_kind::kMayHaveRun, Now()))
+      break;
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include <atomic>
 #include <cstdint>
-#include <string>
 
 #include "document/document.h"
 #include "framework/base/clock.h"
-#include "framework/base/sharded_map.h"
 #include "membership/member.h"
 
 namespace catkinmoor {
@@ -38,6 +35,8 @@
   /// Whether an earlier attempt was lost, so that the request may have run already.
   bool may_have_run = false;
   milliseconds time_left{0};
+  /// Whether the target itself turned the latest attempt away, as opposed to its gate.
+  bool reached_target = true;
 };
 
 /// Maximum attempts in total when the latest one provably did not run the request.
@@ -91,36 +90,11 @@
   }
   const bool can_retry = state.attempts_made < kMaxAttemptsIfNotRun && state.body_replayable &&
                          state.time_left.count() > 0;
-  // A retry after a refusal due to overload adds load, so the retry budget must allow it.
-  const bool refused_by_load = state.outcome == attempt_outcome::kRefusedOverload;
-  if (can_retry && (!refused_by_load || take_budget())) return next_step::kRetry;
+  // A target that turns requests away is loaded by each retry; a gate that does so shields it.
+  const bool loads_targets =
+      state.outcome == attempt_outcome::kRefusedOverload && state.reached_target;
+  if (can_retry && (!loads_targets || take_budget())) return next_step::kRetry;
   return FinalStep(state);
 }
 
-/// Token buckets that limit retries to a share of first attempts, by service. The caller passes the
-/// time.
-class retry_budget {
- public:
-  /// Records a first attempt, which earns a fraction of a retry.
-  void OnFirstAttempt(const std::string& service, const retry_budget_settings& settings,
-                      time_point now);
-
-  /// Takes one retry from the budget of a service. False when it holds none.
-  bool TryTake(const std::string& service, const retry_budget_settings& settings, time_point now);
-
-  /// Sets the number of daemons that share the fleet-wide burst equally.
-  void SetDaemonCount(std::size_t count) { daemons_ = count; }
-
- private:
-  struct bucket {
-    double tokens = 0;
-    time_point refilled_at{};
-  };
-
-  void Refill(bucket& budget, const retry_budget_settings& settings, time_point now) const;
-
-  sharded_map<std::string, bucket> buckets_;
-  std::atomic<std::size_t> daemons_ = 1;
-};
-
 }  // namespace catkinmoor
