Keep requests near while the targets there answer in time

Cause: (1) a target in another region was preferred as soon as its response was expected 60 ms sooner, and targets differ by more than that in speed; (2) the 16 targets that a daemon considers were drawn without regard to place, so that of 50 it mostly never saw those next door; (3) loads older than 2 s counted as none. Change: the balanced choice weighs, as shares of what a response in time is worth, the risk of missing the route's objective, recent failures and the transfer over charged links by class. The subset holds up to 8 targets of the data centre, up to 12 of the region and the rest elsewhere, for overflow. A reported load decays with a half-life of one second instead of being dropped at an edge. Tests, by pattern: with_a_faster_target_in_another_region_stays_near_until_it_would_be_late, in_a_fleet_larger_than_the_subset_uses_targets_of_its_own_data_centre.

--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -96,6 +96,7 @@
       NotRunResponse(503, "no-target", "pick target", "no target is available for this route");
   for (;;) {
     context.now = Now();
+    context.spent = std::chrono::duration_cast<milliseconds>(context.now - call.started);
     const auto eligible =
         EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
     const member_ptr target =
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -1,6 +1,8 @@
 #include "routing/target_selector.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 #include "framework/base/digest.h"
 
@@ -8,20 +10,41 @@
 namespace {
 
 constexpr milliseconds kMaxReportAge{2'000};
+/// Half-life of a reported load, so that an old one counts less and less.
+constexpr std::chrono::duration<double> kReportHalfLife{1.0};
 constexpr double kQueuedWeight = 2.0;
 constexpr double kMinSlowStartShare = 0.05;
+
+enum distance { kSameDataCentre, kSameRegion, kOtherRegion, kDistances };
+
 constexpr std::size_t kMaxSubsetSize = 16;
+/// Size of the balanced subset up to and including each distance, so that it holds targets for
+/// overflow however many there are nearby.
+constexpr std::size_t kSubsetSizeUpTo[kDistances] = {8, 12, kMaxSubsetSize};
+
+/// Round-trip times by distance. They are typical of the users' networks; only the differences
+/// between them affect the choice.
+constexpr double kRoundTripMs[kDistances] = {0.4, 2.0, 24.0};
+
+/// Costs below are shares of the value that a response in time has for the caller.
+constexpr double kLateCost = 0.7;
+constexpr double kFailureCost = 1.0;
+/// Cost of an expected response time as long as the objective, beyond the risk of being late. It
+/// makes the faster of two targets preferable when neither is likely to be late.
+constexpr double kDurationCost = 0.1;
+/// Links between data centres and regions are charged by volume, so the cost of a transfer depends
+/// on the usual length of a class's messages.
+constexpr double kTransferCost[kRouteClassCount][kDistances] = {
+    {0, 0.04, 0.13},  // booking
+    {0, 0.05, 0.15},  // internal
+    {0, 0.06, 0.2},   // browse
+    {0, 0.25, 0.5},   // download
+};
+/// Value of a response, as time, on routes without an objective.
+constexpr double kValueWithoutObjectiveMs = 600;
+/// Standard deviation of the logarithm of response times.
+constexpr double kResponseSpread = 0.65;
 
-/// Round-trip times by distance: within a data centre, within a region, and between regions. They
-/// are typical of the users' networks; only the differences between them affect the choice.
-constexpr double kRoundTripMs[] = {0.4, 2.0, 24.0};
-/// Cost of a failure to the caller, expressed as time: about that of another attempt.
-constexpr double kFailureCostMs = 600;
-constexpr int kInterRegionDistance = 2;
-/// Links between regions are charged by volume: a target in another region is preferred only if its
-/// response is expected this much sooner, and more for the long responses of downloads.
-constexpr double kInterRegionPenaltyMs = 60;
-constexpr double kInterRegionDownloadPenaltyMs = 200;
 /// Service time assumed for a target that has not reported one yet.
 constexpr double kDefaultServiceMs = 100;
 /// Relative increase in the service time of a fully loaded target over that of an idle one.
@@ -38,11 +61,9 @@
   });
 }
 
-/// Distance of a member from the origin of the request: 0 in the same data centre, 1 in the same
-/// region, 2 in another region.
-int Distance(const member_record& member, const selection_context& context) {
-  if (member.data_centre == context.data_centre) return 0;
-  return member.region == context.region ? 1 : 2;
+distance DistanceOf(const member_record& member, const selection_context& context) {
+  if (member.data_centre == context.data_centre) return kSameDataCentre;
+  return member.region == context.region ? kSameRegion : kOtherRegion;
 }
 
 /// The share of a target's slots that may be used, which rises to 1 during slow start.
@@ -67,16 +88,15 @@
   return (weighted_requests + 1) / (slots * SlowStartShare(member, content, context));
 }
 
-/// The expected response time in milliseconds: the round trip, the service time of the target, the
-/// wait for a slot, and penalties for recent failures and for links between regions.
-double ExpectedResponseMs(const member_record& member, const document& content, route_class kind,
-                          const selection_context& context, const load_board& loads) {
-  const target_load load = loads.Get(member.vm);
-  const bool fresh = context.now - load.reported_at < kMaxReportAge;
-  double requests = load.outstanding;
-  if (fresh) {
-    requests = std::max(requests, static_cast<double>(load.reported.in_use + load.reported.queued));
-  }
+/// The expected response time in milliseconds: the round trip, the service time of the target, and
+/// the wait for a slot.
+double ExpectedResponseMs(const member_record& member, const target_load& load,
+                          const document& content, route_class kind,
+                          const selection_context& context) {
+  const std::chrono::duration<double> report_age = context.now - load.reported_at;
+  const double reported = load.reported.in_use + load.reported.queued;
+  const double requests = std::max<double>(
+      load.outstanding, reported * std::exp2(-std::max(0.0, report_age / kReportHalfLife)));
   const double reported_ms = load.service_ms[static_cast<std::size_t>(kind)];
   const double service_ms = reported_ms > 0 ? reported_ms : kDefaultServiceMs;
   const double slots =
@@ -85,29 +105,51 @@
   const double slowdown =
       kFullLoadSlowdown * std::min(utilisation, 1.0) * std::min(utilisation, 1.0);
   const double queueing = std::max(0.0, utilisation - kQueueingUtilisation);
-  const double penalty_ms =
-      kind == route_class::kDownload ? kInterRegionDownloadPenaltyMs : kInterRegionPenaltyMs;
-  const int distance = Distance(member, context);
-  const double network_ms =
-      kRoundTripMs[distance] + (distance == kInterRegionDistance ? penalty_ms : 0);
-  const double failure_cost_ms = kFailureCostMs * FailureRatio(load, context.now);
-  return network_ms + failure_cost_ms + service_ms * (1 + slowdown + queueing);
+  return kRoundTripMs[DistanceOf(member, context)] + service_ms * (1 + slowdown + queueing);
+}
+
+/// The probability that a response takes longer than the time left for it, given its expected time.
+/// Response times are taken to be distributed log-normally.
+double LateRisk(double expected_ms, double left_ms) {
+  if (left_ms <= 0) return 1;
+  const double deviations =
+      (std::log(left_ms / expected_ms) + kResponseSpread * kResponseSpread / 2) / kResponseSpread;
+  return std::erfc(deviations / std::sqrt(2.0)) / 2;
 }
 
-/// The member with the shortest expected response time. Random jitter keeps daemons that see the
-/// same reports from all selecting the same target at once.
-member_ptr FastestTarget(const std::vector<member_ptr>& candidates, const document& content,
-                         route_class kind, const selection_context& context,
-                         const load_board& loads, std::mt19937_64& random) {
+/// The cost of sending a request to a target, as time: the expected response time, and the values
+/// lost if the response is late or a failure or crosses charged links.
+double SelectionCostMs(const member_record& member, const document& content,
+                       const route& chosen_route, const selection_context& context,
+                       const load_board& loads, double jitter) {
+  const target_load load = loads.Get(member.vm);
+  const route_class kind = chosen_route.traffic_class;
+  const double expected_ms = jitter * ExpectedResponseMs(member, load, content, kind, context);
+  const auto objective_ms = static_cast<double>(chosen_route.latency_objective.count());
+  const bool has_objective = objective_ms > 0;
+  const double left_ms = objective_ms - static_cast<double>(context.spent.count());
+  const double value_ms = has_objective ? objective_ms / kDurationCost : kValueWithoutObjectiveMs;
+  const double late_cost = has_objective ? kLateCost * LateRisk(expected_ms, left_ms) : 0;
+  const double failure_cost = kFailureCost * FailureRatio(load, context.now);
+  const double transfer_cost =
+      kTransferCost[static_cast<std::size_t>(kind)][DistanceOf(member, context)];
+  return expected_ms + value_ms * (late_cost + failure_cost + transfer_cost);
+}
+
+/// The member with the lowest selection cost. Random jitter keeps daemons that see the same reports
+/// from all selecting the same target at once.
+member_ptr CheapestTarget(const std::vector<member_ptr>& candidates, const document& content,
+                          const route& chosen_route, const selection_context& context,
+                          const load_board& loads, std::mt19937_64& random) {
   std::uniform_real_distribution<double> jitter(1 - kResponseMsJitter, 1 + kResponseMsJitter);
   member_ptr best;
   double best_ms = 0;
   for (const member_ptr& each : candidates) {
-    const double expected_ms =
-        ExpectedResponseMs(*each, content, kind, context, loads) * jitter(random);
-    if (best != nullptr && expected_ms >= best_ms) continue;
+    const double cost_ms =
+        SelectionCostMs(*each, content, chosen_route, context, loads, jitter(random));
+    if (best != nullptr && cost_ms >= best_ms) continue;
     best = each;
-    best_ms = expected_ms;
+    best_ms = cost_ms;
   }
   return best;
 }
@@ -115,17 +157,40 @@
 /// Selects a subset of the members by rendezvous hashing with the selecting daemon, so that each
 /// daemon holds connections to a bounded, evenly distributed part of a large service.
 std::vector<member_ptr> SelectSubset(std::vector<member_ptr> members,
-                                     const std::string& selecting_vm) {
-  if (members.size() <= kMaxSubsetSize) return members;
-  const auto rank = [&](const member_ptr& each) {
-    return StableHash(selecting_vm + "/" + each->vm, 5);
-  };
-  std::nth_element(members.begin(), members.begin() + kMaxSubsetSize, members.end(),
-                   [&](const auto& left, const auto& right) { return rank(left) > rank(right); });
-  members.resize(kMaxSubsetSize);
+                                     const std::string& selecting_vm, std::size_t max_size) {
+  if (members.size() <= max_size) return members;
+  std::vector<std::pair<std::uint64_t, member_ptr>> ranked;
+  ranked.reserve(members.size());
+  for (member_ptr& each : members) {
+    const std::uint64_t rank = StableHash(selecting_vm + "/" + each->vm, 5);
+    ranked.emplace_back(rank, std::move(each));
+  }
+  const auto last = ranked.begin() + static_cast<std::ptrdiff_t>(max_size);
+  std::nth_element(ranked.begin(), last, ranked.end(),
+                   [](const auto& left, const auto& right) { return left.first > right.first; });
+  members.clear();
+  std::transform(ranked.begin(), last, std::back_inserter(members),
+                 [](auto& each) { return std::move(each.second); });
   return members;
 }
 
+/// As SelectSubset, but prefers near members and keeps some of each distance.
+std::vector<member_ptr> SelectNearSubset(std::vector<member_ptr> members,
+                                         const selection_context& context) {
+  if (members.size() <= kMaxSubsetSize) return members;
+  std::vector<member_ptr> by_distance[kDistances];
+  for (member_ptr& each : members) {
+    by_distance[DistanceOf(*each, context)].push_back(std::move(each));
+  }
+  std::vector<member_ptr> subset;
+  for (int distance = kSameDataCentre; distance < kDistances; ++distance) {
+    const auto selected = SelectSubset(std::move(by_distance[distance]), context.vm,
+                                       kSubsetSizeUpTo[distance] - subset.size());
+    subset.insert(subset.end(), selected.begin(), selected.end());
+  }
+  return subset;
+}
+
 }  // namespace
 
 std::vector<member_ptr> EligibleTargets(const document& content, const route_split& split,
@@ -175,16 +240,18 @@
   std::vector<member_ptr>& candidates = healthy.empty() ? avoided : healthy;
   if (candidates.empty()) return nullptr;
   if (target_locality == locality::kBalanced) {
-    return FastestTarget(SelectSubset(std::move(candidates), context.vm), content,
-                         chosen_route.traffic_class, context, loads, random);
+    return CheapestTarget(SelectNearSubset(std::move(candidates), context), content, chosen_route,
+                          context, loads, random);
   }
   if (target_locality != locality::kAny) {
-    int nearest = Distance(*candidates.front(), context);
-    for (const member_ptr& each : candidates) nearest = std::min(nearest, Distance(*each, context));
+    distance nearest = DistanceOf(*candidates.front(), context);
+    for (const member_ptr& each : candidates) {
+      nearest = std::min(nearest, DistanceOf(*each, context));
+    }
     std::erase_if(candidates,
-                  [&](const member_ptr& each) { return Distance(*each, context) > nearest; });
+                  [&](const member_ptr& each) { return DistanceOf(*each, context) > nearest; });
   }
-  candidates = SelectSubset(std::move(candidates), context.vm);
+  candidates = SelectSubset(std::move(candidates), context.vm, kMaxSubsetSize);
   std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
   const member_ptr first = candidates[draw(random)];
   const member_ptr second = candidates[draw(random)];
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -19,6 +19,8 @@
   std::set<std::string> tried_vms;
   time_point now;
   std::uint64_t wall_ms = 0;
+  /// Time since the request arrived, which counts towards the route's latency objective.
+  milliseconds spent{0};
 };
 
 /// The targets that a split of a document's route may use: announced for the service, ready, in the
@@ -31,9 +33,10 @@
 
 /// Selects a target. By default it is the better of two random choices (by outstanding requests and
 /// reported load) at the nearest distance that has targets; with balanced locality it is the one
-/// with the shortest expected response time. Targets already tried are excluded; those that are
-/// ejected after failures or suspected are used only when there are no others. Null when there is
-/// none.
+/// with the lowest cost, weighing the expected response time, the risk of missing the objective or
+/// of a failure, and the transfer between data centres and regions. Targets already tried are
+/// excluded; those that are ejected after failures or suspected are used only when there are no
+/// others. Null when there is none.
 member_ptr PickTarget(const std::vector<member_ptr>& eligible, const document& content,
                       const route& chosen_route, const selection_context& context,
                       const load_board& loads, std::mt19937_64& random);
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -250,6 +250,60 @@
   cr_assert(others == 10);
 }
 
+// Pattern: targets of unequal speed. A slower one nearby is used while it answers in time.
+Test(pick_target, with_a_faster_target_in_another_region_stays_near_until_it_would_be_late) {
+  document content = SlotboardDocument();
+  route& browse = content.routes.front();
+  browse.target_locality = catkinmoor::locality::kBalanced;
+  browse.traffic_class = catkinmoor::route_class::kBrowse;
+  browse.latency_objective = milliseconds(800);
+  const std::vector<member_ptr> all = {Target("near", "r", "r-1"), Target("far", "s", "s-1")};
+  load_board loads;
+  std::mt19937_64 random(1);
+  const auto now = time_point{} + milliseconds(1);
+  loads.OnLoadReport("near", browse.traffic_class, {3, 10, 0, 256}, now);
+  loads.OnLoadReport("far", browse.traffic_class, {3, 10, 0, 112}, now);
+  const auto pick = [&] {
+    return PickTarget(all, content, browse, ContextIn("r", "r-1"), loads, random)->vm;
+  };
+  for (int i = 0; i < 100; ++i) cr_assert(pick() == "near");
+  loads.OnLoadReport("near", browse.traffic_class, {10, 10, 20, 256}, now);
+  for (int i = 0; i < 100; ++i) cr_assert(pick() == "far");
+}
+
+// Pattern: a fleet larger than the subset that one daemon considers.
+Test(pick_target, in_a_fleet_larger_than_the_subset_uses_targets_of_its_own_data_centre) {
+  document content = SlotboardDocument();
+  route& browse = content.routes.front();
+  browse.target_locality = catkinmoor::locality::kBalanced;
+  browse.traffic_class = catkinmoor::route_class::kBrowse;
+  browse.latency_objective = milliseconds(800);
+  std::vector<member_ptr> all;
+  for (int i = 0; i < 90; ++i) {
+    const std::string region = std::string(1, static_cast<char>('r' + i % 3));
+    all.push_back(Target("vm-" + std::to_string(i), region, region + std::to_string(i % 9)));
+  }
+  load_board loads;
+  std::mt19937_64 random(1);
+  std::set<std::string> used;
+  for (int daemon = 0; daemon < 10; ++daemon) {
+    selection_context context = ContextIn("r", "r0");
+    context.vm = "daemon-" + std::to_string(daemon);
+    for (int i = 0; i < 100; ++i) {
+      const member_ptr chosen = PickTarget(all, content, browse, context, loads, random);
+      cr_assert(chosen->data_centre == "r0");
+      used.insert(chosen->vm);
+    }
+    context.tried_vms = used;
+    // With all targets of the data centre tried, those of the region follow.
+    for (const member_ptr& each : all) {
+      if (each->data_centre == "r0") context.tried_vms.insert(each->vm);
+    }
+    cr_assert(PickTarget(all, content, browse, context, loads, random)->region == "r");
+  }
+  cr_assert(used.size() == 10, "%zu targets of the data centre were used", used.size());
+}
+
 Test(pick_target, with_balanced_locality_stays_in_the_region_until_it_is_saturated) {
   document content = SlotboardDocument();
   content.routes.front().target_locality = catkinmoor::locality::kBalanced;
