Bound what is read of responses without end

Cause: the limits of header and body do not cover chunk extensions and trailers, which are read into a buffer without a limit; a response that is read only to be discarded was read to its end. Change: at most 256 KiB are held unparsed on a connection of the proxies and of the store client; responses that are not delivered are given up after 256 KiB; a body from the store is at most 16 MiB.

--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -23,7 +23,9 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdlePerPeer = 4;
-constexpr std::uint64_t kMaxResponseBodyBytes = 64U << 20U;
+constexpr std::uint64_t kMaxResponseBodyBytes = 16U << 20U;
+/// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
+constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
@@ -70,7 +72,7 @@
     outcome.message = "write: " + write_failed.message();
     co_return outcome;
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(kMaxResponseBodyBytes);
   if (message.method == "HEAD") parser.skip(true);
--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -92,12 +92,25 @@
     const response scripted = script_(head);
     std::this_thread::sleep_for(std::chrono::milliseconds(scripted.delay_ms));
     ::send(connection, scripted.bytes.data(), scripted.bytes.size(), MSG_NOSIGNAL);
-    open = scripted.keep_alive;
+    if (!scripted.repeated.empty()) SendEndlessly(connection, scripted.repeated);
+    open = scripted.keep_alive && scripted.repeated.empty();
   }
   ::shutdown(connection, SHUT_WR);
   ::close(connection);
 }
 
+void scripted_target::SendEndlessly(int connection, const std::string& repeated) {
+  const timeval send_timeout{0, 50'000};
+  ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof(send_timeout));
+  while (!stopping_) {
+    const auto sent = ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL);
+    const bool blocked = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (sent >= 0 || blocked) continue;
+    ++endless_closed_;
+    return;
+  }
+}
+
 void scripted_target::AnnouncePeriodically() {
   const std::string body = R"({"service": "slotboard", "slots": 50, "instance": ")" + RandomId() +
                            R"(", "address": ")" + address_ + ":" + std::to_string(kTargetPort) +
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -18,6 +18,8 @@
     std::string bytes;
     bool keep_alive = false;
     int delay_ms = 0;
+    /// Sent again and again after the bytes until the caller closes the connection.
+    std::string repeated = {};
   };
   /// Returns the response to a request, given the head of the request.
   using script = std::function<response(const std::string& head)>;
@@ -30,15 +32,20 @@
   /// Number of requests received so far.
   int Requests() const { return requests_; }
 
+  /// Number of responses without end that the caller has ended by closing the connection.
+  int EndlessResponsesClosed() const { return endless_closed_; }
+
  private:
   void Serve();
   void ServeConnection(int connection);
+  void SendEndlessly(int connection, const std::string& repeated);
   void AnnouncePeriodically();
 
   std::string address_;
   script script_;
   int listener_ = -1;
   std::atomic<int> requests_ = 0;
+  std::atomic<int> endless_closed_ = 0;
   std::atomic<bool> stopping_ = false;
   std::thread server_;
   std::thread announcer_;
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -226,3 +226,66 @@
   const auto second = responses.find("/second");
   Require(first != std::string::npos && second != std::string::npos && first < second, responses);
 }
+
+namespace {
+
+/// A target's response without end, by the path of the request.
+scripted_target::response EndlessResponse(const std::string& head) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string failure = "HTTP/1.1 500 Internal Server Error\r\n";
+  const std::string path = PathOf(head);
+  const std::string kilobyte(1'024, 'x');
+  if (path == "/no-answer") return {"", false, 0, kilobyte};
+  if (path == "/header-line") return {ok + "X-Long: ", false, 0, kilobyte};
+  if (path == "/header") return {ok, false, 0, "X-More: " + kilobyte + "\r\n"};
+  if (path == "/interim") return {"", false, 0, "HTTP/1.1 102 Processing\r\n\r\n"};
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  if (path == "/chunk-extension") return {ok + chunked + "5;", false, 0, kilobyte};
+  if (path == "/trailer") {
+    return {ok + chunked + "5\r\nhello\r\n0\r\n", false, 0, "X-More: " + kilobyte + "\r\n"};
+  }
+  if (path == "/failure-body") {
+    return {failure + chunked, false, 0, "400\r\n" + kilobyte + "\r\n"};
+  }
+  return {ok + "Content-Length: 5\r\n\r\nhello", false, 0, kilobyte};
+}
+
+/// A gauge of a daemon, read from its metrics.
+double MetricOf(const fleet& subject, const std::string& address, const std::string& name) {
+  const std::string text = subject.SendToAdministration(address, "GET", "/metrics").body;
+  const auto found = text.find("\n" + name + " ");
+  Require(found != std::string::npos, name);
+  return std::stod(text.substr(found + name.size() + 2));
+}
+
+}  // namespace
+
+// Pattern: a server in trouble sends bytes that are no answer, in a head or a body, until its
+// caller closes.
+Test(wire, of_responses_without_end_closes_the_connections_within_bounded_memory) {
+  fleet subject({.subnet = 164, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const scripted_target target(address, EndlessResponse);
+  StartWithDocument(subject, SlotboardDocument(1'500));
+  constexpr double kMaxResidentBytes = 96.0 * (1U << 20U);
+  for (const std::string path : {"/no-answer", "/header-line", "/header", "/interim",
+                                 "/chunk-extension", "/trailer", "/failure-body"}) {
+    std::vector<catkinmoor::http::response> responses(8);
+    std::vector<std::thread> callers;
+    for (auto& response : responses) {
+      callers.emplace_back([&] { response = subject.SendToEntry(address, "GET", path); });
+    }
+    for (std::thread& each : callers) each.join();
+    for (const auto& response : responses) {
+      const bool failed = response.status == 0 || response.status >= 500;
+      Require(failed, path + " -> " + std::to_string(response.status));
+      Require(HeaderValue(response.headers, "x-catkinmoor-outcome") != "not-run", path);
+    }
+    const double resident = MetricOf(subject, address, "catkinmoor_resident_bytes");
+    Require(resident < kMaxResidentBytes, path + ": " + std::to_string(resident) + " bytes");
+  }
+  catkinmoor::WaitUntil("the end of all responses without end",
+                        [&] { return target.EndlessResponsesClosed() >= target.Requests(); });
+  const auto complete = subject.SendToEntry(address, "GET", "/bytes-after-the-answer");
+  Require(complete.status == 200 && complete.body == "hello", complete.body);
+}
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -14,6 +14,7 @@
 constexpr milliseconds kGateRetention{30'000};
 constexpr unsigned kMinFailureStatus = 500;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+constexpr std::size_t kMaxDiscardedBytes = 256U << 10U;
 
 }  // namespace
 
@@ -289,16 +290,10 @@
 }
 
 asio::awaitable<bool> attempt_sender::ReadToEnd(connection& gate, response_parser& response) {
-  std::vector<char> block(kMaxResponseHeaderBytes);
-  while (!response.is_done()) {
-    response.get().body().data = block.data();
-    response.get().body().size = block.size();
-    gate.stream.expires_after(settings_.progress_timeout);
-    auto [failed, count] =
-        co_await bhttp::async_read_some(gate.stream, gate.buffer, response, kAwait);
-    if (failed && failed != bhttp::error::need_buffer) co_return false;
-  }
-  co_return response.keep_alive();
+  std::string discarded;
+  const body_outcome outcome = co_await ReadRemainingBody(gate, response, kMaxDiscardedBytes,
+                                                          discarded, settings_.progress_timeout);
+  co_return outcome == body_outcome::kComplete && response.keep_alive();
 }
 
 }  // namespace catkinmoor::proxy_internal
