Let a stopping daemon's target work on during the notice

Change: the target is withdrawn 400 ms before the end of the notice, time for other daemons to learn it, and only then does the gate refuse.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -36,6 +36,8 @@
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr milliseconds kDrainPollInterval{20};
 constexpr milliseconds kLeaveSpreadTime{300};
+/// Time for other daemons to learn that a target leaves before its gate refuses requests.
+constexpr milliseconds kWithdrawalLead{400};
 constexpr milliseconds kCleanupInterval{10'000};
 constexpr milliseconds kIdleConnectionTimeout{20'000};
 constexpr std::uint64_t kMaxAdministrationBodyBytes = kMaxDocumentBytes;
@@ -339,10 +341,14 @@
   /// the drain timeout, and publishes that the daemon has left.
   asio::awaitable<void> StopGracefully() {
     asio::steady_timer timer(control_context_);
+    // During the notice, callers turn to other daemons, and the target goes on working.
+    const milliseconds lead = std::min(kWithdrawalLead, settings_.drain_notice_period);
+    timer.expires_after(settings_.drain_notice_period - lead);
+    co_await timer.async_wait(kAwait);
     target_.Withdraw();
-    gate_.Drain();
-    timer.expires_after(settings_.drain_notice_period);
+    timer.expires_after(lead);
     co_await timer.async_wait(kAwait);
+    gate_.Drain();
     entry_.Drain();
     const time_point end = Now() + settings_.drain_timeout;
     while ((entry_.ActiveRequests() > 0 || gate_.ActiveRequests() > 0) && Now() < end) {
