Test that the target of a stopping daemon serves during the notice

with_the_daemon_of_the_only_target_stopping_serves_during_the_notice: on the daemon of the first request after SIGTERM gets 503 no-target; now all are served until the notice ends, and the daemon exits with 0. The test of endless responses gets a subnet of its own, since two programs used the same one.

--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -17,6 +17,7 @@
 using catkinmoor::Require;
 using catkinmoor::RunLoad;
 using catkinmoor::SlotboardDocument;
+using catkinmoor::WaitUntil;
 using catkinmoor::http::HeaderValue;
 
 /// Starts a fleet, and waits until its document is in force at every daemon.
@@ -130,6 +131,31 @@
           0);
 }
 
+// Pattern: a third restarts in turn. The target of a stopping daemon serves during the notice.
+Test(serving, with_the_daemon_of_the_only_target_stopping_serves_during_the_notice) {
+  fleet subject({.subnet = 180,
+                 .vms = 2,
+                 .extra_daemon_settings = R"(, "drain_notice_ms": 10000)",
+                 .start_targets = false});
+  subject.Start();
+  const std::string entry = subject.Addresses().front();
+  const std::string stopping = subject.Addresses().back();
+  subject.StartTarget(stopping);
+  Require(subject.PutDocument(entry, SlotboardDocument(), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  for (const std::string& each : subject.Addresses()) subject.AwaitTargets(each, 1);
+  subject.SignalDaemon(stopping, SIGTERM);
+  WaitUntil("the stopping daemon to say that it is not ready",
+            [&] { return !subject.IsReady(stopping); });
+  for (int i = 0; i < 20; ++i) {
+    for (const std::string& each : subject.Addresses()) {
+      const auto response = subject.SendToEntry(each, "GET", "/slots");
+      Require(response.status == 200, std::to_string(response.status) + " " + response.body);
+    }
+  }
+  Require(subject.WaitForDaemonExit(stopping) == 0);
+}
+
 Test(serving, at_an_entry_that_stops_under_load_aborts_no_accepted_request) {
   fleet subject({.subnet = 40, .vms = 2});
   StartServing(subject);
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -263,7 +263,7 @@
 // Pattern: a server in trouble sends bytes that are no answer, in a head or a body, until its
 // caller closes.
 Test(wire, of_responses_without_end_closes_the_connections_within_bounded_memory) {
-  fleet subject({.subnet = 164, .vms = 1, .start_targets = false});
+  fleet subject({.subnet = 176, .vms = 1, .start_targets = false});
   const std::string address = subject.Addresses().front();
   const scripted_target target(address, EndlessResponse);
   StartWithDocument(subject, SlotboardDocument(1'500));
