Let the retry budget cover refusals of gates again

Cause: a refusal by a gate took nothing from the budget. Ruled out: the choice of near targets and the stopping order, which stay. Change: every retry after a refusal by load takes from the budget, as before. Test: after_a_refusal_by_load_retries_only_within_the_budget. Conclusion: a retry costs the daemons even where it spares the target.

--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -272,6 +272,7 @@
                                  "/chunk-extension", "/trailer", "/failure-body"}) {
     std::vector<catkinmoor::http::response> responses(8);
     std::vector<std::thread> callers;
+    callers.reserve(responses.size());
     for (auto& response : responses) {
       callers.emplace_back([&] { response = subject.SendToEntry(address, "GET", path); });
     }
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -293,7 +293,7 @@
   std::string discarded;
   const body_outcome outcome = co_await ReadRemainingBody(gate, response, kMaxDiscardedBytes,
                                                           discarded, settings_.progress_timeout);
-  co_return outcome == body_outcome::kComplete && response.keep_alive();
+  co_return outcome == body_outcome::kComplete&& response.keep_alive();
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -129,7 +129,6 @@
     }
     state.body_replayable = state.body_replayable && !attempt.body_consumed;
     state.gate_queried = attempt.gate_queried;
-    state.reached_target = attempt.reason == kReasonTargetRefused;
     if (attempt.reason == kReasonTargetCrashed) ++crashes;
     next_step next = DecideNextStep(call, state, attempt.outcome);
     // A request that has crashed two targets is not tried on a third.
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -35,8 +35,6 @@
   /// Whether an earlier attempt was lost, so that the request may have run already.
   bool may_have_run = false;
   milliseconds time_left{0};
-  /// Whether the target itself turned the latest attempt away, as opposed to its gate.
-  bool reached_target = true;
 };
 
 /// Maximum attempts in total when the latest one provably did not run the request.
@@ -90,10 +88,9 @@
   }
   const bool can_retry = state.attempts_made < kMaxAttemptsIfNotRun && state.body_replayable &&
                          state.time_left.count() > 0;
-  // A target that turns requests away is loaded by each retry; a gate that does so shields it.
-  const bool loads_targets =
-      state.outcome == attempt_outcome::kRefusedOverload && state.reached_target;
-  if (can_retry && (!loads_targets || take_budget())) return next_step::kRetry;
+  // A retry after a refusal due to overload adds load, so the retry budget must allow it.
+  const bool refused_by_load = state.outcome == attempt_outcome::kRefusedOverload;
+  if (can_retry && (!refused_by_load || take_budget())) return next_step::kRetry;
   return FinalStep(state);
 }
 
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -179,6 +179,20 @@
   }
 }
 
+// Pattern: every target of a service is full. Retries that no budget allows would only add load.
+Test(decide_next, after_a_refusal_by_load_retries_only_within_the_budget) {
+  const route chosen{.repeatable = true, .attempts = 3};
+  const attempt_state state{.outcome = attempt_outcome::kRefusedOverload,
+                            .time_left = milliseconds(100)};
+  int asked = 0;
+  const auto decide = [&](bool allowed) {
+    return DecideNext(chosen, state, [&] { return ++asked > 0 && allowed; });
+  };
+  cr_assert(decide(true) == next_step::kRetry);
+  cr_assert(decide(false) == next_step::kReportNotRun);
+  cr_assert(asked == 2);
+}
+
 // The target of a gate that is only slow to respond may still be running the request.
 Test(should_abandon_unreachable, only_with_a_gate_that_is_not_alive_in_the_member_table) {
   member_record gate;
