--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -278,8 +278,10 @@
   transfer_outcome transfer = transfer_outcome::kReadFailed;
   for (int resumes = 0; resumes < kMaxResumes && transfer == transfer_outcome::kReadFailed;
        ++resumes) {
-    if (!deps_.budget.TryTake(call.service, content.retry_budget, retry_kind::kMayHaveRun, Now()))
-      break;
+    // Only the rest of the response is fetched, so the whole budget is available.
+    const bool allowed =
+        deps_.budget.TryTake(call.service, content.retry_budget, retry_kind::kNotRun, Now());
+    if (!allowed) break;
     context.now = Now();
     const auto eligible =
         EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
