Discard a gate's response with the reader that exists

Cause: the bound on discarded responses was written a second time in attempt_sender, beside DiscardResponseBody.

--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
+#include "proxy/internal/target_responses.h"
+
 namespace catkinmoor::proxy_internal {
 namespace {
 
@@ -14,7 +16,6 @@
 constexpr milliseconds kGateRetention{30'000};
 constexpr unsigned kMinFailureStatus = 500;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
-constexpr std::size_t kMaxDiscardedBytes = 256U << 10U;
 
 }  // namespace
 
@@ -290,10 +291,8 @@
 }
 
 asio::awaitable<bool> attempt_sender::ReadToEnd(connection& gate, response_parser& response) {
-  std::string discarded;
-  const body_outcome outcome = co_await ReadRemainingBody(gate, response, kMaxDiscardedBytes,
-                                                          discarded, settings_.progress_timeout);
-  co_return outcome == body_outcome::kComplete&& response.keep_alive();
+  const bool discarded = co_await DiscardResponseBody(gate, response, settings_.progress_timeout);
+  co_return discarded&& response.keep_alive();
 }
 
 }  // namespace catkinmoor::proxy_internal
