Review case 3: an acknowledged departure is forgotten when all daemons are killed

Tried: deregistration, kill of all daemons, and a heartbeat from before the deregistration that arrives 5 s late. A kill of the daemon alone shows nothing, as its neighbours return the departure (sidecar_process_test has that case).

--- a/review/lib/standin.h
+++ b/review/lib/standin.h
@@ -421,6 +421,18 @@
     runs_[id][index].result = result;
   }
 
+  /// The runs at an instance that began after a moment, by request id.
+  std::vector<std::pair<std::string, run>> At(const std::string& instance, double after) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<std::pair<std::string, run>> found;
+    for (const auto& [id, runs] : runs_) {
+      for (const run& each : runs) {
+        if (each.instance == instance && each.begin > after) found.emplace_back(id, each);
+      }
+    }
+    return found;
+  }
+
   std::vector<run> Of(const std::string& id) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto found = runs_.find(id);
@@ -456,14 +468,33 @@
       }
     });
     std::thread([this] {
-      for (;;) {
-        SendHeartbeat();
+      while (beats_) {
+        SendHeartbeat(++sequence_);
         SleepFor(1.5);
       }
     }).detach();
     return true;
   }
 
+  const std::string& Instance() const { return instance_; }
+  std::int64_t Sequence() const { return sequence_; }
+
+  void StopHeartbeats() { beats_ = false; }
+
+  /// Sends a heartbeat with the state ready. Returns the status of the answer, 0 without one.
+  int SendHeartbeat(std::int64_t sequence) {
+    return Post("heartbeat",
+                {{"address", ip_ + ":" + std::to_string(kBackendPort)},
+                 {"born", born_},
+                 {"info",
+                  {{"service", service_}, {"version", "v1"}, {"zone", "z-a"}, {"slots", slots_}}},
+                 {"status",
+                  {{"state", "ready"}, {"sequence", sequence}, {"coldRemaining", "0ms"}}}});
+  }
+
+  /// Deregisters. Returns the status of the answer, 0 without one.
+  int Deregister() { return Post("deregister", {{"born", born_}}); }
+
  private:
   bool Answer(connection& open, const message& request) {
     const std::string id = request.Header("x-request-id");
@@ -499,20 +530,17 @@
                      std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
-  void SendHeartbeat() {
+  int Post(const std::string& operation, const bj::object& content) {
     const auto open = Connect(ip_, kControlPort);
-    if (open == nullptr) return;
-    const std::string body = bj::serialize(bj::object{
-        {"address", ip_ + ":" + std::to_string(kBackendPort)},
-        {"born", born_},
-        {"info", {{"service", service_}, {"version", "v1"}, {"zone", "z-a"}, {"slots", slots_}}},
-        {"status", {{"state", "ready"}, {"sequence", ++sequence_}, {"coldRemaining", "0ms"}}}});
-    open->Send("POST /catkinmoor/instances/" + instance_ +
-               "/heartbeat HTTP/1.1\r\nHost: " + ip_ +
+    if (open == nullptr) return 0;
+    const std::string body = bj::serialize(content);
+    open->Send("POST /catkinmoor/instances/" + instance_ + "/" + operation +
+               " HTTP/1.1\r\nHost: " + ip_ +
                "\r\nContent-Type: application/json\r\nContent-Length: " +
                std::to_string(body.size()) + "\r\n\r\n" + body);
     message response;
-    open->Read(response, Seconds() + 1);
+    if (!open->Read(response, Seconds() + 1)) return 0;
+    return std::atoi(response.first_line.c_str() + 9);
   }
 
   std::string ip_;
@@ -520,7 +548,8 @@
   std::string instance_;
   int slots_;
   std::int64_t born_;
-  std::int64_t sequence_ = 0;
+  std::atomic<std::int64_t> sequence_ = 0;
+  std::atomic<bool> beats_ = true;
   std::mutex mutex_;
   std::condition_variable freed_;
   int busy_ = 0;
@@ -560,10 +589,12 @@
 
   bool StartBackend(int machine, const std::string& service, int slots) {
     services_[machine] = service;
-    backends_.push_back(std::make_unique<backend>(Address(machine), service, slots));
-    return backends_.back()->Start();
+    backends_[machine] = std::make_unique<backend>(Address(machine), service, slots);
+    return backends_[machine]->Start();
   }
 
+  backend& Backend(int machine) { return *backends_.at(machine); }
+
   void StartDaemon(int machine) {
     const std::string ip = Address(machine);
     const auto at = [&](int port) { return ip + ":" + std::to_string(port); };
@@ -638,6 +669,13 @@
     ::kill(processes_.at(machine), signal);
   }
 
+  /// Kills the daemon of a machine and waits for its end.
+  void Kill(int machine) {
+    Signal(machine, SIGKILL);
+    ::waitpid(processes_.at(machine), nullptr, 0);
+    processes_.erase(machine);
+  }
+
   /// Whether the daemon of a machine has ended; its process is then forgotten.
   bool HasEnded(int machine) {
     const auto found = processes_.find(machine);
@@ -665,7 +703,7 @@
   std::string network_;
   store store_;
   std::map<int, std::string> services_;
-  std::vector<std::unique_ptr<backend>> backends_;
+  std::map<int, std::unique_ptr<backend>> backends_;
   std::map<int, pid_t> processes_;
 };
 
