--- a/review/lib/standin.h
+++ b/review/lib/standin.h
@@ -595,18 +595,22 @@
 
   backend& Backend(int machine) { return *backends_.at(machine); }
 
+  /// Places the machines in zones of two, instead of all in one zone.
+  void UseZonesOfTwo() { zones_of_two_ = true; }
+
   void StartDaemon(int machine) {
     const std::string ip = Address(machine);
+    const std::string zone = zones_of_two_ && machine > 2 ? "z-b" : "z-a";
     const auto at = [&](int port) { return ip + ":" + std::to_string(port); };
     const bj::object settings{
-        {"nodeName", "sidecar-z-a-" + std::to_string(machine)},
+        {"nodeName", "sidecar-" + zone + "-" + std::to_string(machine)},
         {"role", "sidecar"},
         {"machineClass", "sidecar"},
         {"serves", {"sidecar"}},
         {"ip", ip},
-        {"zone", "z-a"},
+        {"zone", zone},
         {"region", "z"},
-        {"zones", {{"z-a", "z"}}},
+        {"zones", {{"z-a", "z"}, {"z-b", "z"}}},
         {"listen",
          {{"inbound", at(kInboundPort)},
           {"outbound", at(kOutboundPort)},
@@ -701,6 +705,7 @@
   std::string command_;
   std::string directory_;
   std::string network_;
+  bool zones_of_two_ = false;
   store store_;
   std::map<int, std::string> services_;
   std::map<int, std::unique_ptr<backend>> backends_;
