--- a/review/lib/standin.h
+++ b/review/lib/standin.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -460,12 +461,18 @@
                   .count()) {}
 
   bool Start() {
-    const int listener = Listen(ip_, kBackendPort);
-    if (listener < 0) return false;
-    Serve(listener, [this](connection& open) {
+    listener_ = Listen(ip_, kBackendPort);
+    if (listener_ < 0) return false;
+    Serve(listener_, [this](connection& open) {
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_.insert(open.Socket());
+      }
       message request;
       while (open.Read(request) && Answer(open, request)) {
       }
+      const std::lock_guard<std::mutex> lock(mutex_);
+      open_.erase(open.Socket());
     });
     std::thread([this] {
       while (beats_) {
@@ -476,6 +483,16 @@
     return true;
   }
 
+  /// Ends as a crashed process does: nobody listens, and all connections end.
+  void Crash() {
+    the_record.Add("backend " + instance_ + " crashes");
+    beats_ = false;
+    ::shutdown(listener_, SHUT_RDWR);
+    ::close(listener_);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const int each : open_) ::shutdown(each, SHUT_RDWR);
+  }
+
   const std::string& Instance() const { return instance_; }
   std::int64_t Sequence() const { return sequence_; }
 
@@ -548,6 +565,8 @@
   std::string instance_;
   int slots_;
   std::int64_t born_;
+  int listener_ = -1;
+  std::set<int> open_;
   std::atomic<std::int64_t> sequence_ = 0;
   std::atomic<bool> beats_ = true;
   std::mutex mutex_;
@@ -589,7 +608,8 @@
 
   bool StartBackend(int machine, const std::string& service, int slots) {
     services_[machine] = service;
-    backends_[machine] = std::make_unique<backend>(Address(machine), service, slots);
+    // The threads of an earlier start may still use its object, so it is never deleted.
+    backends_[machine] = new backend(Address(machine), service, slots);
     return backends_[machine]->Start();
   }
 
@@ -708,7 +728,7 @@
   bool zones_of_two_ = false;
   store store_;
   std::map<int, std::string> services_;
-  std::map<int, std::unique_ptr<backend>> backends_;
+  std::map<int, backend*> backends_;
   std::map<int, pid_t> processes_;
 };
 
