--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -22,7 +22,8 @@
 
 int Run(deployment& system) {
   if (!system.StartStore()) return kCouldNotRun;
-  const std::map<int, std::string> services = {{1, "front"}, {2, "desk"}, {3, "front"}, {4, "desk"}};
+  const std::map<int, std::string> services = {
+      {1, "front"}, {2, "desk"}, {3, "front"}, {4, "desk"}};
   system.Store().Write("op", "config",
                        R"({"version":"00000001","resources":[)" +
                            Route("read", "/read/", "safe", "4s", "desk") + "," +
@@ -53,14 +54,13 @@
   std::vector<std::thread> clients;
   const auto send = [&](const std::string& method, const std::string& target, int work) {
     clients.emplace_back([&, method, target, work] {
-      auto made =
-          SendRequest(entry, method, target + "?work=" + std::to_string(work), kDeadlineMs);
+      auto made = SendRequest(entry, method, target + "?work=" + std::to_string(work), kDeadlineMs);
       const std::lock_guard<std::mutex> lock(mutex);
       sent.push_back(std::move(made));
     });
   };
-  // The platform asks for readiness once a second. Two misses, and so up to two seconds, pass before
-  // the clients of a machine stop.
+  // The platform asks for readiness once a second. Two misses, and so up to two seconds, pass
+  // before the clients of a machine stop.
   SleepUntil(stopped + 1.6);
   for (int i = 0; i < 3 * kSlots; ++i) {
     send("POST", "/book/", kLongWorkMs);
@@ -75,9 +75,9 @@
     while (!system.HasEnded(kEntry) && Seconds() < stopped + kGrace + 1) SleepFor(0.02);
   }
 
-  // LOST: read whole, and the connection ends without a complete answer later than lossSlack, before
-  // the deadline and the route's timeout (both 4 s). A request that a backend has run is not counted
-  // here, as the rule excuses some of them.
+  // LOST: read whole, and the connection ends without a complete answer later than lossSlack,
+  // before the deadline and the route's timeout (both 4 s). A request that a backend has run is not
+  // counted here, as the rule excuses some of them.
   int lost = 0;
   for (const client_request& each : sent) {
     const bool cut = each.connected && each.status == 0 && !each.deadline_passed;
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -22,7 +22,8 @@
 
 int Run(deployment& system) {
   if (!system.StartStore()) return kCouldNotRun;
-  const std::map<int, std::string> services = {{1, "front"}, {2, "desk"}, {3, "front"}, {4, "desk"}};
+  const std::map<int, std::string> services = {
+      {1, "front"}, {2, "desk"}, {3, "front"}, {4, "desk"}};
   system.Store().Write("op", "config",
                        R"({"version":"00000001","resources":[)" +
                            Route("read", "/read/", "safe", "2s", "desk") + "," +
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -36,8 +36,8 @@
   return text + "," + Service("front") + "," + Service("desk") + "," + Service("till") + "]}";
 }
 
-/// Freezes the neighbour of the entry, moves the bookings and goes on with further versions. Returns
-/// the number of requests that break the rule.
+/// Freezes the neighbour of the entry, moves the bookings and goes on with further versions.
+/// Returns the number of requests that break the rule.
 int RunRound(deployment& system, const std::string& entry, int& version, bool to_till) {
   const std::string bookings_to = to_till ? "till" : "desk";
   const std::string old_instance = system.Backend(to_till ? kDesk : kTill).Instance();
@@ -74,11 +74,11 @@
       if (made.instance != old_instance) continue;
       ++broken;
       char text[200];
-      std::snprintf(text, sizeof(text),
-                    "CONFIG: request %s sent %.3f s after the acknowledgement of version %s was run "
-                    "by %s",
-                    each.id.c_str(), each.sent - acknowledged, moved.c_str(),
-                    to_till ? "desk" : "till");
+      std::snprintf(
+          text, sizeof(text),
+          "CONFIG: request %s sent %.3f s after the acknowledgement of version %s was run "
+          "by %s",
+          each.id.c_str(), each.sent - acknowledged, moved.c_str(), to_till ? "desk" : "till");
       the_record.Add(text);
     }
   }
@@ -88,7 +88,8 @@
 int Run(deployment& system) {
   if (!system.StartStore()) return kCouldNotRun;
   system.UseZonesOfTwo();
-  const std::map<int, std::string> services = {{1, "front"}, {2, "front"}, {3, "desk"}, {4, "till"}};
+  const std::map<int, std::string> services = {
+      {1, "front"}, {2, "front"}, {3, "desk"}, {4, "till"}};
   system.Store().Write("op", "config", Configuration(1, "desk"));
   for (const auto& [machine, service] : services) {
     if (!system.StartBackend(machine, service, kSlots)) return kCouldNotRun;
--- a/review/lib/standin.h
+++ b/review/lib/standin.h
@@ -248,7 +248,8 @@
   for (std::size_t i = 0; i < bytes.size(); i += 3) {
     unsigned block = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      block = (block << 8U) | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+      block =
+          (block << 8U) | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       text += i + j > bytes.size() ? '=' : kDigits[(block >> (18 - 6 * j)) & 63U];
@@ -317,10 +318,8 @@
                                 {"schemaVersion", stored.version}});
     }
     const std::string now = std::to_string(static_cast<long>(Seconds() * 1000)) + "ms";
-    return bj::serialize(bj::object{{"rows", std::move(list)},
-                                    {"hasMore", false},
-                                    {"schemaVersion", version_},
-                                    {"now", now}});
+    return bj::serialize(bj::object{
+        {"rows", std::move(list)}, {"hasMore", false}, {"schemaVersion", version_}, {"now", now}});
   }
 
   std::pair<int, std::string> Handle(const message& request) {
@@ -373,7 +372,8 @@
     for (const bj::value& each : list("expectedRev")) {
       const auto found = rows_.find(key_of(each));
       const std::uint64_t current = found == rows_.end() ? 0 : found->second.version;
-      if (current != each.at("schemaVersion").to_number<std::uint64_t>()) return {412, RowsBody({})};
+      if (current != each.at("schemaVersion").to_number<std::uint64_t>())
+        return {412, RowsBody({})};
     }
     ++version_;
     for (const bj::value& each : list("setKeys")) {
@@ -500,13 +500,12 @@
 
   /// Sends a heartbeat with the state ready. Returns the status of the answer, 0 without one.
   int SendHeartbeat(std::int64_t sequence) {
-    return Post("heartbeat",
-                {{"address", ip_ + ":" + std::to_string(kBackendPort)},
-                 {"born", born_},
-                 {"info",
-                  {{"service", service_}, {"version", "v1"}, {"zone", "z-a"}, {"slots", slots_}}},
-                 {"status",
-                  {{"state", "ready"}, {"sequence", sequence}, {"coldRemaining", "0ms"}}}});
+    return Post(
+        "heartbeat",
+        {{"address", ip_ + ":" + std::to_string(kBackendPort)},
+         {"born", born_},
+         {"info", {{"service", service_}, {"version", "v1"}, {"zone", "z-a"}, {"slots", slots_}}},
+         {"status", {{"state", "ready"}, {"sequence", sequence}, {"coldRemaining", "0ms"}}}});
   }
 
   /// Deregisters. Returns the status of the answer, 0 without one.
@@ -551,10 +550,10 @@
     const auto open = Connect(ip_, kControlPort);
     if (open == nullptr) return 0;
     const std::string body = bj::serialize(content);
-    open->Send("POST /catkinmoor/instances/" + instance_ + "/" + operation +
-               " HTTP/1.1\r\nHost: " + ip_ +
-               "\r\nContent-Type: application/json\r\nContent-Length: " +
-               std::to_string(body.size()) + "\r\n\r\n" + body);
+    open->Send(
+        "POST /catkinmoor/instances/" + instance_ + "/" + operation + " HTTP/1.1\r\nHost: " + ip_ +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body);
     message response;
     if (!open->Read(response, Seconds() + 1)) return 0;
     return std::atoi(response.first_line.c_str() + 9);
@@ -590,15 +589,14 @@
     processes_.clear();
   }
 
-  std::string Address(int machine) const {
-    return network_ + "." + std::to_string(machine + 1);
-  }
+  std::string Address(int machine) const { return network_ + "." + std::to_string(machine + 1); }
 
   /// Starts the store in a network whose addresses are free.
   bool StartStore() {
     std::random_device random;
     for (int attempt = 0; attempt < 20; ++attempt) {
-      network_ = "127." + std::to_string(64 + random() % 128) + "." + std::to_string(random() % 256);
+      network_ =
+          "127." + std::to_string(64 + random() % 128) + "." + std::to_string(random() % 256);
       if (store_.Start(Address(0), kStorePort)) return true;
     }
     return false;
@@ -640,7 +638,11 @@
         {"seeds", bj::array()},
         {"bootstrap", true},
         {"limits",
-         {{"cpuShare", 0.2}, {"cores", 1}, {"memoryMb", 260}, {"maxFds", 4100}, {"linkMbps", 1000.0}}},
+         {{"cpuShare", 0.2},
+          {"cores", 1},
+          {"memoryMb", 260},
+          {"maxFds", 4100},
+          {"linkMbps", 1000.0}}},
         {"discovery", "local"},
         {"entry", "local"},
         {"heartbeat", "1500ms"},
@@ -763,8 +765,8 @@
   const std::string body = method == "POST" ? "order" : "";
   the_record.Add("request " + made.id + " " + made.line + " sent");
   open->Send(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + made.id +
-             "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nContent-Length: " +
-             std::to_string(body.size()) + "\r\n\r\n" + body);
+             "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) +
+             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   message response;
   const bool answered = open->Read(response, made.deadline);
   made.ended = Seconds();
@@ -794,13 +796,11 @@
 }
 
 inline std::string Service(const std::string& name) {
-  return bj::serialize(bj::object{{"entryKind", "services"},
-                                  {"metadata", {{"name", name}}},
-                                  {"spec",
-                                   {{"healthPath", "/healthz"},
-                                    {"maxConnections", 130},
-                                    {"protocol", "h1"},
-                                    {"tls", false}}}});
+  return bj::serialize(bj::object{
+      {"entryKind", "services"},
+      {"metadata", {{"name", name}}},
+      {"spec",
+       {{"healthPath", "/healthz"}, {"maxConnections", 130}, {"protocol", "h1"}, {"tls", false}}}});
 }
 
 /// Runs a case with its deployment, ends the daemons and writes the record. The outcome is the exit
