Log when a version comes in force and whether this daemon reads the source

Callers saw requests handled by version N or older although N was acknowledged more than configApply before. Three hypotheses could not be told apart from the logs:

1. the daemon depends on others' word for new versions and hears none (it neither reads the source nor is told); 2. it reads the source and gets no answer; 3. it holds the version but waits for a witness.

"newer document version received and held" separates the third from the others only together with a line at the moment at which the version comes in force; nothing separated the first from the second. Added: "document version in force" with the time that it was held, and "this daemon reads the source" / "other daemons read the source" when the role changes. No change of behaviour.

--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -4,6 +4,7 @@
 
 #include "framework/base/clock.h"
 #include "framework/base/digest.h"
+#include "framework/logging/log.h"
 
 namespace catkinmoor {
 namespace {
@@ -74,8 +75,14 @@
 
 void document_board::PutInForce(document_state& state) {
   if (state.in_force == state.held) return;
+  const auto held_time = std::chrono::duration_cast<milliseconds>(Now() - state.held_since);
   state.in_force = state.held;
   state.in_force_since_ms = UnixMilliseconds();
+  const document_version& source = state.held->source;
+  logging::Info("document version in force",
+                {{"service", source.service},
+                 {"version", static_cast<std::int64_t>(source.version)},
+                 {"held_ms", static_cast<std::int64_t>(held_time.count())}});
 }
 
 offer_outcome document_board::Refuse(const document_version& offered, std::string reason) {
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -37,9 +37,15 @@
 
 asio::awaitable<void> source_controller::Run() {
   bool failing = false;
+  bool was_reader = false;
   milliseconds delay = settings_.source_poll_interval;
   while (!stopping_) {
     const bool is_reader = strategy_.ReadsSource(*deps_.members.View(), deps_.self.Get());
+    if (is_reader != was_reader) {
+      logging::Info(is_reader ? "this daemon reads the source" : "other daemons read the source",
+                    {{"position", Position()}});
+      was_reader = is_reader;
+    }
     const bool long_polls = source_.SupportsLongPolling() && is_reader && !failing;
     if (!long_polls) {
       std::uniform_int_distribution<std::int64_t> percent(80, 120);
