Let a daemon that hears no reader of the source read it itself

Callers saw requests handled by a configuration whose successor had been acknowledged more than configApply before, or refused with 404 for a route that had been added (CONFIG), at machines that were cut from all other machines but not from the platform.

Cause: two readers a region, by hash, look at the source; every other daemon is only as current as the others' word, and did not know how old that word was. A cut daemon is no reader, marks its neighbours suspect and dead one by one, and still believes some reader in another data centre alive, so it neither reads nor learns until the cut ends and a comparison finds the difference (0.25 to 1.2 s later). Class: fresh only by others' word, and not aware of the word's age.

Change: readers confirm, down the spreading tree of their region, what the newest documents are and as of when; the confirmation carries its age, so that time in retries counts. A daemon without one that is younger than source_max_age_ms (5 s; on the users' platform half of configApply) reads the source itself and confirms to its data centre, until it hears another's. A daemon that hears of a version it lacks fetches it.

Why it works: whatever part of the fleet is cut, lost or slow, the age of what a daemon knows is bounded by the maximum age, and only the platform, which defines "in touch", is needed to renew it.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -399,6 +399,8 @@
     metrics_.SetGauge("catkinmoor_resident_bytes", ResidentBytes());
     metrics_.SetGauge("catkinmoor_processor_seconds", ProcessorSeconds());
     metrics_.SetGauge("catkinmoor_ready", join_.Ready() ? 1 : 0);
+    metrics_.SetGauge("catkinmoor_source_confirmed_age_seconds",
+                      std::chrono::duration<double>(freshness_.Age(Now())).count());
   }
 
   daemon_settings settings_;
@@ -416,7 +418,8 @@
   retry_budget budget_;
   request_ledger ledger_;
   quarantine_board quarantine_;
-  distribution_dependencies deps_{documents_, members_, self_, quarantine_, metrics_};
+  source_freshness freshness_{settings_.distribution.max_source_age};
+  distribution_dependencies deps_{documents_, members_, self_, freshness_, quarantine_, metrics_};
   std::unique_ptr<spread_strategy> strategy_;
   http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -29,7 +29,7 @@
 }};
 
 using ds = distribution_settings;
-const std::array<field<ds>, 11> kDistributionFields = {{
+const std::array<field<ds>, 12> kDistributionFields = {{
     {"strategy", &ds::strategy, "How updates are distributed: tree, gossip or poll."},
     {"probe_interval_ms", &ds::probe_interval, "Time between probes of a neighbour.", false, 50,
      kMaxTimeMs},
@@ -43,6 +43,10 @@
     {"source_wait_ms", &ds::source_long_poll_wait,
      "Time for which a source that supports long polling holds a read until there is an update.",
      false, 0, kMaxTimeMs},
+    {"source_max_age_ms", &ds::max_source_age,
+     "Time without a confirmation from a reader of the source after which a daemon reads the "
+     "source itself; 0 always relies on the readers.",
+     false, 0, kMaxTimeMs},
     {"witness_wait_ms", &ds::max_witness_wait,
      "Time after which a version comes in force without a witness; 0 always waits for a witness.",
      false, 0, kMaxTimeMs},
--- a/src/distribution/distribution_settings.h
+++ b/src/distribution/distribution_settings.h
@@ -14,6 +14,9 @@
   milliseconds suspicion_timeout{2'000};
   milliseconds source_poll_interval{1'000};
   milliseconds source_long_poll_wait{0};
+  /// Time without a confirmation from a reader of the source after which a daemon reads the source
+  /// itself; 0 always relies on the readers.
+  milliseconds max_source_age{5'000};
   /// Time after which a version is put in force without a witness; 0 waits for one indefinitely.
   milliseconds max_witness_wait{0};
   /// Whether a read of the source alone returns every version that was ever in force, so that a
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
@@ -14,13 +15,17 @@
 
 namespace asio = boost::asio;
 
+constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxTransferBytes = 1U << 20U;
 constexpr std::size_t kMaxTransferMembers = 2'000;
 constexpr milliseconds kReconcileTimeout{3'000};
 constexpr int kNeighboursToShareWith = 2;
+/// Time for documents that are still being spread to arrive.
+constexpr milliseconds kMissedDocumentsDelay{150};
 
 bool HasRecords(const spread_request& message) {
-  return !message.documents.empty() || !message.members.empty() || !message.crashes.empty();
+  return !message.documents.empty() || !message.members.empty() || !message.crashes.empty() ||
+         message.confirmation;
 }
 
 /// Moves the next chunk of records out of a long transfer, to bound the size of a message.
@@ -106,6 +111,41 @@
   Forward(std::move(message));
 }
 
+void record_exchange::SpreadSourceRead(std::vector<document_version> documents, spread_range range,
+                                       time_point read_at) {
+  spread_request message = MakeSpread({range, ""});
+  const bool has_documents = !documents.empty();
+  message.documents = std::move(documents);
+  if (strategy_.SpreadsConfirmations() &&
+      (has_documents || deps_.freshness.ShouldConfirm(read_at))) {
+    message.confirmation =
+        source_confirmation{read_at, DocumentHash(), deps_.documents.LastChange()};
+    deps_.freshness.OnConfirmationSent(read_at);
+  }
+  Forward(std::move(message));
+}
+
+void record_exchange::ApplyConfirmation(const source_confirmation& confirmation,
+                                        const std::string& sender) {
+  const bool is_current = confirmation.document_hash == DocumentHash() ||
+                          confirmation.last_change < deps_.documents.LastChange();
+  if (is_current) {
+    deps_.freshness.OnConfirmed(confirmation.confirmed_at);
+  } else if (!fetching_missed_.exchange(true)) {
+    asio::co_spawn(context_, FetchMissed(sender, confirmation.last_change), asio::detached);
+  }
+}
+
+asio::awaitable<void> record_exchange::FetchMissed(std::string sender, std::uint64_t last_change) {
+  asio::steady_timer timer(context_, kMissedDocumentsDelay);
+  auto [cancelled] = co_await timer.async_wait(kAwait);
+  const member_ptr member = deps_.members.Find(sender);
+  if (!cancelled && member != nullptr && deps_.documents.LastChange() < last_change) {
+    co_await Reconcile(*member);
+  }
+  fetching_missed_ = false;
+}
+
 void record_exchange::AnnounceMember(const member_record& record) {
   if (MergeMember(record)) QueueMember(record);
 }
@@ -234,6 +274,7 @@
   const bool witnessed = message.sender_data_centre == self.data_centre;
   record_batch updates =
       Merge(message.documents, message.members, witnessed, &reply.refused_services);
+  if (message.confirmation) ApplyConfirmation(*message.confirmation, message.sender);
   // Only the first relay of a data centre forwards its member records to other data centres.
   if (message.scope.range == spread_range::kRingSegment &&
       IsFirstRelay(*deps_.members.View(), self)) {
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -14,6 +14,8 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr milliseconds kMaxRetryDelay{8'000};
+/// The first read as a reader returns at once, so that other daemons soon hear its confirmation.
+constexpr milliseconds kFirstReadWait{1};
 
 }  // namespace
 
@@ -35,27 +37,64 @@
   asio::post(context_, [this] { timer_.cancel(); });
 }
 
+source_controller::reading_role source_controller::CurrentRole() const {
+  if (strategy_.ReadsSource(*deps_.members.View(), deps_.self.Get())) {
+    return reading_role::kForRegion;
+  }
+  const bool is_lacking = strategy_.SpreadsConfirmations() && deps_.freshness.IsStale(Now());
+  return is_lacking ? reading_role::kForLack : reading_role::kNone;
+}
+
+milliseconds source_controller::RandomPart(milliseconds duration, int min_percent,
+                                           int max_percent) {
+  std::uniform_int_distribution<std::int64_t> percent(min_percent, max_percent);
+  return duration * percent(random_) / 100;
+}
+
+asio::awaitable<void> source_controller::WaitForNextRead(reading_role role, milliseconds delay) {
+  time_point next = Now() + RandomPart(delay, 80, 120);
+  if (role == reading_role::kNone && strategy_.SpreadsConfirmations()) {
+    // The first daemon that reads confirms the source to the others before they begin.
+    const time_point stale_at = deps_.freshness.StaleAt();
+    if (stale_at < next) next = stale_at + RandomPart(settings_.max_source_age, 0, 15);
+  }
+  timer_.expires_at(next);
+  co_await timer_.async_wait(kAwait);
+}
+
 asio::awaitable<void> source_controller::Run() {
   bool failing = false;
-  bool was_reader = false;
+  auto previous_role = reading_role::kNone;
   milliseconds delay = settings_.source_poll_interval;
   while (!stopping_) {
-    const bool is_reader = strategy_.ReadsSource(*deps_.members.View(), deps_.self.Get());
-    if (is_reader != was_reader) {
-      logging::Info(is_reader ? "this daemon reads the source" : "other daemons read the source",
-                    {{"position", Position()}});
-      was_reader = is_reader;
-    }
-    const bool long_polls = source_.SupportsLongPolling() && is_reader && !failing;
+    reading_role role = CurrentRole();
+    const bool long_polls =
+        source_.SupportsLongPolling() && role != reading_role::kNone && !failing;
     if (!long_polls) {
-      std::uniform_int_distribution<std::int64_t> percent(80, 120);
-      timer_.expires_after(delay * percent(random_) / 100);
-      co_await timer_.async_wait(kAwait);
+      co_await WaitForNextRead(role, delay);
+      role = CurrentRole();
     }
     if (stopping_) co_return;
+    const bool is_first_read = previous_role == reading_role::kNone;
+    if (role != previous_role) {
+      logging::Info(
+          role == reading_role::kNone ? "other daemons read the source"
+                                      : "this daemon reads the source",
+          {{"position", Position()},
+           {"for_lack_of_readers", role == reading_role::kForLack},
+           {"confirmed_age_ms", static_cast<std::int64_t>(deps_.freshness.Age(Now()).count())}});
+      previous_role = role;
+    }
     delay = settings_.source_poll_interval;
-    if (!is_reader) continue;
-    const auto read = co_await ReadOnce(settings_.source_long_poll_wait);
+    if (role == reading_role::kNone) {
+      failing = false;
+      continue;
+    }
+    const bool for_region = role == reading_role::kForRegion;
+    const milliseconds wait =
+        is_first_read ? kFirstReadWait : RandomPart(settings_.source_long_poll_wait, 80, 100);
+    const auto read =
+        co_await ReadOnce(wait, for_region ? spread_range::kRegion : spread_range::kDataCentre);
     if (Ok(read)) {
       if (failing) logging::Info("source readable again", {{"position", Position()}});
       failing = false;
@@ -64,7 +103,8 @@
     deps_.metrics.IncrementCounter("catkinmoor_source_failures_total");
     logging::Warning("source read failed; next read delayed", Failure(read));
     failing = true;
-    delay = std::min(delay * 2, kMaxRetryDelay);
+    // All daemons lack a confirmation while the source is down for everyone.
+    delay = for_region ? std::min(delay * 2, kMaxRetryDelay) : settings_.max_source_age;
   }
 }
 
@@ -72,23 +112,26 @@
 
 asio::awaitable<result<std::uint64_t>> source_controller::CatchUp() {
   for (;;) {
-    const auto read = co_await ReadOnce(milliseconds(0));
+    const auto read = co_await ReadOnce(milliseconds(0), spread_range::kRegion);
     if (!Ok(read)) co_return Failure(read);
-    if (!Value(read)) co_return position_.load();
+    if (Value(read)) continue;
+    deps_.freshness.OnConfirmed(Now());
+    co_return position_.load();
   }
 }
 
-asio::awaitable<result<bool>> source_controller::ReadOnce(milliseconds wait) {
+asio::awaitable<result<bool>> source_controller::ReadOnce(milliseconds wait, spread_range range) {
   deps_.metrics.IncrementCounter("catkinmoor_source_reads_total");
   const std::uint64_t previous = position_;
   auto update = co_await source_.FetchUpdate(previous, wait);
   if (!Ok(update)) co_return Failure(update);
-  OfferAndSpread(std::move(Value(update).documents));
+  const time_point read_at = Now();
+  exchange_.SpreadSourceRead(OfferAll(std::move(Value(update).documents)), range, read_at);
   position_ = std::max(position_.load(), Value(update).position);
   co_return position_ > previous;
 }
 
-void source_controller::OfferAndSpread(std::vector<document_version> documents) {
+std::vector<document_version> source_controller::OfferAll(std::vector<document_version> documents) {
   std::vector<document_version> updates;
   for (document_version& each : documents) {
     if (deps_.documents.Offer(each, false) != offer_outcome::kNewer) continue;
@@ -98,7 +141,7 @@
                    {"version", static_cast<std::int64_t>(each.version)}});
     updates.push_back(std::move(each));
   }
-  if (!updates.empty()) exchange_.SpreadDocuments(std::move(updates), spread_range::kRegion);
+  return updates;
 }
 
 }  // namespace catkinmoor
--- a/src/distribution/internal/spread_strategy.cc
+++ b/src/distribution/internal/spread_strategy.cc
@@ -26,6 +26,7 @@
   bool ReadsSource(const member_view& view, const member_record& self) const override {
     return IsReader(view, self);
   }
+  bool SpreadsConfirmations() const override { return true; }
   bool ForwardsHeld() const override { return true; }
 };
 
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -10,6 +11,7 @@
 #include "distribution/distribution_settings.h"
 #include "distribution/document_board.h"
 #include "distribution/self_record.h"
+#include "distribution/source_freshness.h"
 #include "distribution/spread_strategy.h"
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
@@ -22,6 +24,7 @@
   document_board& documents;
   member_table& members;
   self_record& self;
+  source_freshness& freshness;
   quarantine_board& quarantine;
   metrics::registry& metrics;
 };
@@ -46,6 +49,11 @@
   /// Spreads documents that this daemon holds.
   void SpreadDocuments(std::vector<document_version> documents, spread_range range);
 
+  /// Spreads what a read of the source at `read_at` returned, and confirms to the daemons in range
+  /// that this daemon's documents were then the newest.
+  void SpreadSourceRead(std::vector<document_version> documents, spread_range range,
+                        time_point read_at);
+
   /// Merges a record that originates at this daemon, and spreads it if it was newer.
   void AnnounceMember(const member_record& record);
 
@@ -86,6 +94,10 @@
   record_batch Merge(const std::vector<document_version>& documents,
                      const std::vector<member_record>& members, bool witnessed,
                      std::vector<std::string>* refused);
+  void ApplyConfirmation(const source_confirmation& confirmation, const std::string& sender);
+
+  /// Fetches documents whose spreading did not reach this daemon.
+  boost::asio::awaitable<void> FetchMissed(std::string sender, std::uint64_t last_change);
   void QueueMember(const member_record& record);
   void FlushMembers();
   void Forward(spread_request message);
@@ -103,6 +115,7 @@
   distribution_settings settings_;
   member_listener on_member_;
   member_listener on_stale_self_;
+  std::atomic<bool> fetching_missed_ = false;
   std::mutex queue_mutex_;
   std::vector<member_record> queued_members_;
 };
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -12,7 +12,8 @@
 
 namespace catkinmoor {
 
-/// Polls the source on behalf of a region. A poll without changes is a small read, or a long poll
+/// Polls the source on behalf of a region, or for its own data centre while no reader is heard to
+/// read it. A poll without changes is a small read, or a long poll
 /// if the source supports it. After a failure the next poll is delayed longer, with jitter, so that
 /// a platform that recovers is not overloaded by all daemons at once.
 class source_controller {
@@ -29,8 +30,18 @@
   boost::asio::awaitable<result<std::uint64_t>> CatchUp();
 
  private:
-  boost::asio::awaitable<result<bool>> ReadOnce(milliseconds wait);
-  void OfferAndSpread(std::vector<document_version> documents);
+  /// Why this daemon reads the source.
+  enum class reading_role {
+    kNone,       ///< Other daemons read it.
+    kForRegion,  ///< The strategy selected this daemon.
+    kForLack,    ///< No other daemon is known to read it at present.
+  };
+
+  reading_role CurrentRole() const;
+  boost::asio::awaitable<void> WaitForNextRead(reading_role role, milliseconds delay);
+  boost::asio::awaitable<result<bool>> ReadOnce(milliseconds wait, spread_range range);
+  std::vector<document_version> OfferAll(std::vector<document_version> documents);
+  milliseconds RandomPart(milliseconds duration, int min_percent, int max_percent);
   std::int64_t Position() const;
 
   distribution_dependencies deps_;
--- a/src/distribution/spread_strategy.h
+++ b/src/distribution/spread_strategy.h
@@ -24,6 +24,9 @@
   /// Whether documents are spread at all; if not, every daemon reads them from the source.
   virtual bool SpreadsDocuments() const { return true; }
 
+  /// Whether daemons that read the source confirm its state to those that do not.
+  virtual bool SpreadsConfirmations() const { return false; }
+
   /// Whether a record is forwarded even if it was already held. A tree has to, since the members
   /// further down get it from nobody else.
   virtual bool ForwardsHeld() const = 0;
--- a/src/distribution/tests/in_process_fleet.h
+++ b/src/distribution/tests/in_process_fleet.h
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <deque>
 #include <map>
+#include <set>
 
 #include "distribution/join_controller.h"
 #include "store/repository_source.h"
@@ -19,6 +20,8 @@
   std::map<endpoint, node*> nodes;
   int spread_messages = 0;
   int max_spread_messages = 1'000;
+  /// Vms that exchange no message with any other.
+  std::set<std::string> isolated;
 
   boost::asio::awaitable<result<spread_reply>> Spread(endpoint, spread_request,
                                                       milliseconds) override;
@@ -35,6 +38,9 @@
                                                     milliseconds) override {
     co_return error{error_kind::kUnavailable, "fence", "", "not supported by this stub"};
   }
+
+  /// The node at an address, or null if a message of the sender does not reach it.
+  node* Reach(const std::string& sender, const endpoint& address);
 };
 
 inline member_record RecordOf(const std::string& vm, std::uint16_t port) {
@@ -51,22 +57,28 @@
 struct node {
   node(boost::asio::io_context& context, memory_platform& platform, in_process_peers& peers,
        const std::string& vm, std::uint16_t port)
-      : self(RecordOf(vm, port)),
+      : node(context, platform, peers, RecordOf(vm, port), {}) {}
+
+  node(boost::asio::io_context& context, memory_platform& platform, in_process_peers& peers,
+       const member_record& record, const distribution_settings& settings)
+      : self(record),
+        freshness(settings.max_source_age),
         strategy(MakeSpreadStrategy("tree", 1)),
-        exchange(context, deps, peers, *strategy, {}),
+        exchange(context, deps, peers, *strategy, settings),
         repository(platform),
         documents_source(repository),
-        source(context, deps, documents_source, exchange, *strategy, {}, 1),
-        join(context, deps, platform, peers, exchange, source, {}, {}, 1) {
+        source(context, deps, documents_source, exchange, *strategy, settings, record.control.port),
+        join(context, deps, platform, peers, exchange, source, settings, {}, 1) {
     peers.nodes[self.Get().control] = this;
   }
 
   document_board documents;
   member_table members;
   self_record self;
+  source_freshness freshness;
   quarantine_board quarantine;
   metrics::registry metrics;
-  distribution_dependencies deps{documents, members, self, quarantine, metrics};
+  distribution_dependencies deps{documents, members, self, freshness, quarantine, metrics};
   std::unique_ptr<spread_strategy> strategy;
   record_exchange exchange;
   document_repository repository;
@@ -75,29 +87,46 @@
   join_controller join;
 };
 
+inline node* in_process_peers::Reach(const std::string& sender, const endpoint& address) {
+  const auto found = nodes.find(address);
+  if (found == nodes.end() || isolated.contains(sender)) return nullptr;
+  return isolated.contains(found->second->self.Get().vm) ? nullptr : found->second;
+}
+
+inline error Unreachable(const char* step) {
+  return {error_kind::kUnavailable, step, "", "not reachable"};
+}
+
 inline boost::asio::awaitable<result<spread_reply>> in_process_peers::Spread(endpoint address,
                                                                              spread_request message,
                                                                              milliseconds) {
   if (++spread_messages > max_spread_messages) {
     co_return error{error_kind::kUnavailable, "spread", "", "more messages than the test allows"};
   }
-  spread_reply reply = co_await nodes.at(address)->exchange.OnSpread(std::move(message));
+  node* peer = Reach(message.sender, address);
+  if (peer == nullptr) co_return Unreachable("spread");
+  spread_reply reply = co_await peer->exchange.OnSpread(std::move(message));
   co_return reply;
 }
 inline boost::asio::awaitable<result<probe_reply>> in_process_peers::Probe(endpoint address,
-                                                                           probe_request,
+                                                                           probe_request message,
                                                                            milliseconds) {
-  node& peer = *nodes.at(address);
-  co_return probe_reply{true, peer.exchange.DocumentHash(), peer.exchange.MemberHash()};
+  node* peer = Reach(message.sender, address);
+  if (peer == nullptr) co_return Unreachable("probe");
+  co_return probe_reply{true, peer->exchange.DocumentHash(), peer->exchange.MemberHash()};
 }
 inline boost::asio::awaitable<result<compare_reply>> in_process_peers::Compare(
     endpoint address, compare_request message, milliseconds) {
-  compare_reply reply = co_await nodes.at(address)->exchange.OnCompare(std::move(message));
+  node* peer = Reach(message.sender, address);
+  if (peer == nullptr) co_return Unreachable("compare");
+  compare_reply reply = co_await peer->exchange.OnCompare(std::move(message));
   co_return reply;
 }
 inline boost::asio::awaitable<result<transfer_reply>> in_process_peers::Transfer(
     endpoint address, transfer_request message, milliseconds) {
-  transfer_reply reply = co_await nodes.at(address)->exchange.OnTransfer(std::move(message));
+  node* peer = Reach(message.sender, address);
+  if (peer == nullptr) co_return Unreachable("transfer");
+  transfer_reply reply = co_await peer->exchange.OnTransfer(std::move(message));
   co_return reply;
 }
 
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -172,6 +172,17 @@
   return {ClampEnum(from.reach(), spread_range::kRingSegment), from.last()};
 }
 
+void ToWire(const source_confirmation& from, wire::SourceConfirmation& to) {
+  const auto age = std::chrono::ceil<milliseconds>(Now() - from.confirmed_at).count();
+  to.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+  to.set_document_hash(from.document_hash);
+  to.set_last_change(from.last_change);
+}
+
+source_confirmation FromWire(const wire::SourceConfirmation& from) {
+  return {Now() - milliseconds(from.age_ms()), from.document_hash(), from.last_change()};
+}
+
 template <typename WireList>
 void DocumentsToWire(const std::vector<document_version>& from, WireList& to) {
   for (const auto& each : from) ToWire(each, *to.Add());
@@ -223,6 +234,7 @@
     report.set_number(each.sequence);
     report.set_released(each.released);
   }
+  if (from.confirmation) ToWire(*from.confirmation, *to.mutable_confirmation());
 }
 
 void FromWire(const wire::SpreadRequest& from, spread_request& to) {
@@ -235,6 +247,7 @@
   for (const wire::CrashReport& each : from.crashes()) {
     to.crashes.push_back({each.fingerprint(), each.reporter(), each.number(), each.released()});
   }
+  if (from.has_confirmation()) to.confirmation = FromWire(from.confirmation());
 }
 
 void ToWire(const spread_reply& from, wire::SpreadReply& to) {
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,17 @@
   friend bool operator==(const spread_scope&, const spread_scope&) = default;
 };
 
+/// A reader's statement that the documents with this hash were the newest of the source.
+struct source_confirmation {
+  /// On the clock of the daemon that holds the message; sent as an age.
+  time_point confirmed_at{};
+  std::uint64_t document_hash = 0;
+  /// The highest change number among the documents.
+  std::uint64_t last_change = 0;
+
+  friend bool operator==(const source_confirmation&, const source_confirmation&) = default;
+};
+
 /// Updates that are distributed through the fleet.
 struct spread_request {
   std::string sender;
@@ -36,6 +48,7 @@
   std::vector<crash_report> crashes;
   /// The vm that the message is meant for; empty when unknown.
   std::string recipient;
+  std::optional<source_confirmation> confirmation = std::nullopt;
 
   friend bool operator==(const spread_request&, const spread_request&) = default;
 };
