Count the wait for a witness from the first version that lacks one

Callers saw bookings run at the old service for up to 2.7 s after the change was acknowledged (configApply is 2 s), while versions followed each other 0.18 s apart and the only neighbour of a zone was frozen.

Cause: held_since was set anew by each newer version, so that with versions less than witness_wait_ms (250 ms) apart none had ever been held for long enough. A lone daemon that reads the source itself needs this too, in a storm of configurations.

Change: the wait is counted from the oldest version since the one in force; what comes in force then is the newest. Nothing is lost: the platform that orders the versions is the witness that a restarted daemon reads.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -292,7 +292,7 @@
     while (!stopping_) {
       witness_timer_.expires_after(settings_.distribution.max_witness_wait);
       co_await witness_timer_.async_wait(kAwait);
-      documents_.PutInForceOlderThan(settings_.distribution.max_witness_wait, Now());
+      documents_.PutInForceUnwitnessedFor(settings_.distribution.max_witness_wait, Now());
       budget_.SetDaemonCount(CountPresentMembers());
     }
   }
--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -51,8 +51,10 @@
   /// Puts every held version in force, for a daemon that has no peer in its data centre.
   void PutAllInForce();
 
-  /// Puts in force the versions that have been held for at least `age`, witnessed or not.
-  void PutInForceOlderThan(milliseconds age, time_point now);
+  /// Puts in force the held version of each service that has lacked a witness for at least `age`,
+  /// counted from the oldest of the versions that came since the one in force. Versions that follow
+  /// each other quickly cannot delay each other.
+  void PutInForceUnwitnessedFor(milliseconds age, time_point now);
 
   /// Held versions that are not in force because no witness is known.
   std::vector<parsed_document_ptr> Unwitnessed() const;
@@ -85,7 +87,8 @@
   struct document_state {
     parsed_document_ptr held;
     parsed_document_ptr in_force;
-    time_point held_since{};
+    /// Since when versions newer than the one in force are held.
+    time_point unwitnessed_since{};
     std::uint64_t in_force_since_ms = 0;
     std::optional<refused_version> refusal;
   };
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -59,8 +59,8 @@
       if (state.held != nullptr) service_shard.hash ^= VersionHash(state.held->source);
       service_shard.hash ^= VersionHash(offered);
       service_shard.last_change = std::max(service_shard.last_change, offered.change);
+      if (state.held == state.in_force) state.unwitnessed_since = Now();
       state.held = std::move(active);
-      state.held_since = Now();
       state.refusal.reset();
       if (witnessed) PutInForce(state);
       return offer_outcome::kNewer;
@@ -75,14 +75,14 @@
 
 void document_board::PutInForce(document_state& state) {
   if (state.in_force == state.held) return;
-  const auto held_time = std::chrono::duration_cast<milliseconds>(Now() - state.held_since);
+  const auto waited = std::chrono::duration_cast<milliseconds>(Now() - state.unwitnessed_since);
   state.in_force = state.held;
   state.in_force_since_ms = UnixMilliseconds();
   const document_version& source = state.held->source;
   logging::Info("document version in force",
                 {{"service", source.service},
                  {"version", static_cast<std::int64_t>(source.version)},
-                 {"held_ms", static_cast<std::int64_t>(held_time.count())}});
+                 {"waited_ms", static_cast<std::int64_t>(waited.count())}});
 }
 
 offer_outcome document_board::Refuse(const document_version& offered, std::string reason) {
@@ -110,11 +110,11 @@
   }
 }
 
-void document_board::PutInForceOlderThan(milliseconds age, time_point now) {
+void document_board::PutInForceUnwitnessedFor(milliseconds age, time_point now) {
   for (shard& each : shards_) {
     const std::unique_lock<std::shared_mutex> lock(each.mutex);
     for (auto& [service, state] : each.entries) {
-      if (state.held != nullptr && now - state.held_since >= age) PutInForce(state);
+      if (state.held != nullptr && now - state.unwitnessed_since >= age) PutInForce(state);
     }
   }
 }
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -2,6 +2,8 @@
 
 #include <rapidcheck.h>
 
+#include <thread>
+
 #include "framework/base/digest.h"
 
 #include <criterion/criterion.h>
@@ -10,6 +12,8 @@
 
 using catkinmoor::document_board;
 using catkinmoor::document_version;
+using catkinmoor::milliseconds;
+using catkinmoor::Now;
 using catkinmoor::offer_outcome;
 using catkinmoor::Sha256Hex;
 
@@ -142,3 +146,21 @@
   cr_assert(board.Offer(again, true) == offer_outcome::kAlreadyHeld);
   cr_assert(InForce(board) == 3);
 }
+
+// Guards against CONFIG of review case 4: versions that follow each other faster than the witness
+// wait never came in force while no neighbour answered.
+Test(document_board,
+     offered_versions_in_quick_succession_without_a_witness_puts_the_newest_in_force) {
+  constexpr milliseconds kWitnessWait{15};
+  document_board board;
+  board.Offer(ValidVersion(1), true);
+  board.Offer(ValidVersion(2), false);
+  cr_assert(InForce(board) == 1);
+  std::this_thread::sleep_for(kWitnessWait);
+  board.Offer(ValidVersion(3), false);
+  board.PutInForceUnwitnessedFor(kWitnessWait, Now());
+  cr_assert(InForce(board) == 3);
+  board.Offer(ValidVersion(4), false);
+  board.PutInForceUnwitnessedFor(milliseconds(60'000), Now());
+  cr_assert(InForce(board) == 3, "the wait begins anew with the next version");
+}
