Keep the request rate limit that a target names, at its gate

Cause: the header was not read; a gate started as many requests as its target has slots.

Change: the decision is target_rate_limit, a token bucket in the gate's admission queue. All requests to a target pass through the gate beside it, so that the sum over all machines needs no agreement among them. Waiting requests start as tokens come; what cannot meet its objective at that rate is refused at once, with a Retry-After worked out from the rate. The gate's load report names the slots usable within the limit, so that entries choose other targets. A gate that restarts knows nothing of the limit until its target answers; entries send along the limit of the last answer that they passed on, which are the machines whose requests the rule counts.

--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/target_rate_limit.h"
 #include "document/document.h"
 #include "framework/base/clock.h"
 
@@ -57,7 +58,8 @@
 /// that is done in time. Without an objective, bookings may wait until their deadline; the other
 /// classes are refused when they are not expected to finish before it.
 /// Routes with long responses share the vm's link as well: only as many of their requests run at
-/// once as the link can carry.
+/// once as the link can carry. Where the target names a limit of its request rate, requests start
+/// no faster than that.
 /// A plain state machine: the caller passes the time and holds the lock.
 class admission_queue {
  public:
@@ -67,6 +69,14 @@
   /// Sets the rate at which the link carries responses. Zero: unlimited.
   void SetLinkRate(double bytes_per_ms) { link_bytes_per_ms_ = bytes_per_ms; }
 
+  /// The limit that the target names for its request rate.
+  target_rate_limit& RateLimit() { return rate_limit_; }
+  const target_rate_limit& RateLimit() const { return rate_limit_; }
+
+  /// When a waiting request may start at the earliest because of the rate limit; nothing if none
+  /// waits.
+  std::optional<time_point> NextStartAt(time_point now) const;
+
   /// Records the length of a response that was sent over the link, and the time that the target
   /// worked before it began to respond.
   void RecordResponse(const std::string& route, std::uint64_t bytes, milliseconds work);
@@ -91,6 +101,9 @@
 
   std::uint32_t InUse() const { return in_use_; }
   std::uint32_t Slots() const { return slots_; }
+
+  /// The slots that can be busy at once, which the rate limit may keep below all slots.
+  std::uint32_t UsableSlots() const;
   std::uint32_t Queued() const;
 
   /// Moving average of the target's service time for a route, in milliseconds; that of all routes
@@ -98,7 +111,7 @@
   double MeanServiceMs(const std::string& route) const;
 
   /// Expected time until all waiting requests have got a slot, in milliseconds.
-  double ExpectedBacklogMs() const;
+  double ExpectedBacklogMs(time_point now) const;
 
  private:
   static constexpr std::size_t kClasses = 4;
@@ -109,18 +122,19 @@
     double work_ms = 0;
   };
 
-  bool CanRun(const admission_request& request) const;
+  bool CanRun(const admission_request& request, time_point now) const;
   bool HasSlot(const admission_request& request) const;
   bool HasLinkCapacity(const admission_request& request) const;
   double LinkTransferMs(const std::string& route) const;
   double ExpectedLinkWaitMs(const admission_request& request) const;
-  void Start(const admission_request& request);
+  void Start(const admission_request& request, time_point now);
   bool IsTooLate(const admission_request& request, time_point now) const;
-  double ExpectedWaitMs(const admission_request& request) const;
+  double ExpectedWaitMs(const admission_request& request, time_point now) const;
   bool WillMissObjective(const admission_request& request, time_point now) const;
 
   std::uint32_t slots_ = 0;
   std::uint32_t in_use_ = 0;
+  target_rate_limit rate_limit_;
   bool draining_ = false;
   double mean_service_ms_ = 0;
   std::map<std::string, double> service_ms_by_route_;
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -1,6 +1,7 @@
 #include "admission/admission_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace catkinmoor {
 namespace {
@@ -54,8 +55,20 @@
   return released;
 }
 
-bool admission_queue::CanRun(const admission_request& request) const {
-  return HasSlot(request) && HasLinkCapacity(request);
+bool admission_queue::CanRun(const admission_request& request, time_point now) const {
+  return HasSlot(request) && HasLinkCapacity(request) && rate_limit_.Allows(now);
+}
+
+std::optional<time_point> admission_queue::NextStartAt(time_point now) const {
+  if (Queued() == 0 || !rate_limit_.PerSecond()) return std::nullopt;
+  return rate_limit_.NextAllowedAt(now);
+}
+
+std::uint32_t admission_queue::UsableSlots() const {
+  const auto limit = rate_limit_.PerSecond();
+  if (!limit || mean_service_ms_ <= 0 || slots_ == 0) return slots_;
+  const double busy = std::ceil(*limit * mean_service_ms_ / 1'000);
+  return static_cast<std::uint32_t>(std::clamp<double>(busy, 1, slots_));
 }
 
 double admission_queue::LinkTransferMs(const std::string& route) const {
@@ -92,17 +105,18 @@
   return running == running_by_route_.end() || running->second < request.max_running;
 }
 
-void admission_queue::Start(const admission_request& request) {
+void admission_queue::Start(const admission_request& request, time_point now) {
+  rate_limit_.Take(now);
   ++in_use_;
   ++running_by_route_[request.route];
 }
 
-double admission_queue::ExpectedWaitMs(const admission_request& request) const {
+double admission_queue::ExpectedWaitMs(const admission_request& request, time_point now) const {
   std::size_t ahead = 0;
   for (std::size_t rank = 0; rank <= RankOf(request); ++rank) ahead += waiting_[rank].size();
   const double slot_ms =
       mean_service_ms_ * static_cast<double>(ahead + 1) / std::max<double>(1, slots_);
-  return std::max(slot_ms, ExpectedLinkWaitMs(request));
+  return std::max({slot_ms, ExpectedLinkWaitMs(request), rate_limit_.ExpectedWaitMs(ahead, now)});
 }
 
 double admission_queue::ExpectedLinkWaitMs(const admission_request& request) const {
@@ -119,14 +133,16 @@
   return found == service_ms_by_route_.end() ? mean_service_ms_ : found->second;
 }
 
-double admission_queue::ExpectedBacklogMs() const {
-  return mean_service_ms_ * static_cast<double>(Queued() + 1) / std::max<double>(1, slots_);
+double admission_queue::ExpectedBacklogMs(time_point now) const {
+  const double slot_ms =
+      mean_service_ms_ * static_cast<double>(Queued() + 1) / std::max<double>(1, slots_);
+  return std::max(slot_ms, rate_limit_.ExpectedWaitMs(Queued(), now));
 }
 
 bool admission_queue::WillMissObjective(const admission_request& request, time_point now) const {
   const double left_ms =
       std::chrono::duration<double, std::milli>(*request.objective - now).count();
-  return ExpectedWaitMs(request) + kServiceTimeMargin * MeanServiceMs(request.route) > left_ms;
+  return ExpectedWaitMs(request, now) + kServiceTimeMargin * MeanServiceMs(request.route) > left_ms;
 }
 
 bool admission_queue::IsTooLate(const admission_request& request, time_point now) const {
@@ -147,8 +163,8 @@
         return std::any_of(queue.begin(), queue.end(),
                            [&](const auto& each) { return HasLinkCapacity(each); });
       });
-  if (is_next && CanRun(request)) {
-    Start(request);
+  if (is_next && CanRun(request, now)) {
+    Start(request, now);
     return {admission_action::kRun, refusal_reason::kNone};
   }
   if (waiting_by_route_[request.route] >= request.max_queued) {
@@ -159,7 +175,7 @@
   }
   const double left_ms = std::chrono::duration<double, std::milli>(request.deadline - now).count();
   const bool may_shed = request.kind != route_class::kBooking;
-  if (may_shed && ExpectedWaitMs(request) + mean_service_ms_ > left_ms) {
+  if (may_shed && ExpectedWaitMs(request, now) + mean_service_ms_ > left_ms) {
     return {admission_action::kRefuse, refusal_reason::kTooLate};
   }
   waiting_[RankOf(request)].push_back(request);
@@ -186,11 +202,11 @@
   for (auto& queue : waiting_) {
     for (auto next = queue.begin(); next != queue.end();) {
       const bool too_late = IsTooLate(*next, now);
-      if (!too_late && !CanRun(*next)) {
+      if (!too_late && !CanRun(*next, now)) {
         ++next;
         continue;
       }
-      if (!too_late) Start(*next);
+      if (!too_late) Start(*next, now);
       --waiting_by_route_[next->route];
       released.push_back(
           {next->ticket,
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -54,7 +54,8 @@
           settings_.own_service,
           call.matched_route->priority,
           call.request_id,
-          RemainingObjective(call)};
+          RemainingObjective(call),
+          deps_.loads.Limit(target.vm, target.target->instance)};
 }
 
 asio::awaitable<attempt_result> attempt_sender::MakeAttempt(
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
+#include "proxy/internal/target_responses.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -209,7 +210,15 @@
       break;
   }
   if (attempt.response == nullptr) return;
-  const auto text = attempt.response->get()[kLoadHeader];
+  const response_message& response = attempt.response->get();
+  const bool from_target = attempt.outcome == attempt_outcome::kResponded ||
+                           attempt.outcome == attempt_outcome::kFailureResponse;
+  if (from_target) {
+    const std::optional<double> present = deps_.loads.Limit(target.vm, target.target->instance);
+    deps_.loads.OnLimitReport(target.vm, target.target->instance,
+                              LimitOf(response, settings_.conventions, present));
+  }
+  const auto text = response[kLoadHeader];
   const auto load = ParseLoad({text.data(), text.size()});
   if (load) deps_.loads.OnLoadReport(target.vm, call.matched_route->traffic_class, *load, Now());
 }
--- a/src/proxy/internal/call_headers.cc
+++ b/src/proxy/internal/call_headers.cc
@@ -1,6 +1,7 @@
 #include "proxy/internal/call_headers.h"
 
 #include <charconv>
+#include <cmath>
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -23,6 +24,15 @@
   return valid ? std::optional(number) : std::nullopt;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  const bool valid =
+      parsed.ec == std::errc() && parsed.ptr == end && std::isfinite(number) && number >= 0;
+  return valid ? std::optional(number) : std::nullopt;
+}
+
 std::string FormatLoad(const reported_load& load) {
   return std::to_string(load.in_use) + "," + std::to_string(load.slots) + "," +
          std::to_string(load.queued) + "," + std::to_string(load.service_ms);
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -31,6 +31,7 @@
 inline constexpr const char* kFingerprintHeader = "x-catkinmoor-fingerprint";
 inline constexpr const char* kPriorityHeader = "x-catkinmoor-priority";
 inline constexpr const char* kObjectiveHeader = "x-catkinmoor-objective-ms";
+inline constexpr const char* kLimitHeader = "x-catkinmoor-limit";
 inline constexpr const char* kRetryAfterHeader = "x-catkinmoor-retry-ms";
 inline constexpr const char* kRequestIdHeader = "x-request-id";
 
@@ -69,6 +70,8 @@
   std::string request_id;
   /// Time left to meet the route's latency objective, if the route has one.
   std::optional<milliseconds> objective;
+  /// Request rate limit that the entry learnt from the last response of the instance.
+  std::optional<double> limit_per_second = std::nullopt;
 
   friend bool operator==(const gate_call&, const gate_call&) = default;
 };
@@ -76,6 +79,9 @@
 /// Parses a decimal integer. Returns nothing if the text holds anything else.
 std::optional<std::int64_t> ParseInteger(std::string_view text);
 
+/// Parses a decimal number that is not negative. Returns nothing if the text holds anything else.
+std::optional<double> ParseDecimal(std::string_view text);
+
 /// Formats and parses the value of the load header.
 std::string FormatLoad(const reported_load& load);
 std::optional<reported_load> ParseLoad(std::string_view text);
@@ -96,6 +102,9 @@
   fields.set(kFingerprintHeader, call.fingerprint);
   if (!call.caller_service.empty()) fields.set(kCallerServiceHeader, call.caller_service);
   if (call.objective) fields.set(kObjectiveHeader, std::to_string(call.objective->count()));
+  if (call.limit_per_second) {
+    fields.set(kLimitHeader, std::to_string(*call.limit_per_second));
+  }
   if (call.priority >= 0) fields.set(kPriorityHeader, std::to_string(call.priority));
 }
 
@@ -129,7 +138,8 @@
                    std::string(text(kCallerServiceHeader)),
                    ParseInteger(text(kPriorityHeader)).value_or(-1),
                    std::string(text(kRequestIdHeader)),
-                   objective ? std::optional(milliseconds(*objective)) : std::nullopt};
+                   objective ? std::optional(milliseconds(*objective)) : std::nullopt,
+                   ParseDecimal(text(kLimitHeader))};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cmath>
 #include <optional>
 
 #include "framework/logging/log.h"
@@ -18,6 +19,7 @@
 
 namespace {
 
+constexpr double kSecondsPerMinute = 60;
 constexpr milliseconds kForwardedRetention{30'000};
 constexpr milliseconds kLedgerSweepInterval{1'000};
 constexpr milliseconds kCrashCheckDelay{50};
@@ -57,7 +59,7 @@
       : workers_(workers),
         deps_(dependencies),
         settings_(settings),
-        slots_(std::make_shared<slot_controller>()),
+        slots_(std::make_shared<slot_controller>(workers.Context(0))),
         pacer_(LongResponseRate(settings)) {
     slots_->SetLinkRate(LongResponseRate(settings) / 1000);
     for (std::size_t i = 0; i < workers.Size(); ++i) pools_.emplace_back(settings_);
@@ -73,10 +75,14 @@
   }
 
   void SetTarget(const endpoint& address, const target_announcement& target) {
+    bool is_new_instance = false;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
+      is_new_instance = last_instance_ != target.instance;
+      last_instance_ = target.instance;
       target_ = {address, target};
     }
+    if (is_new_instance) slots_->ResetRateLimit();
     // Each running request uses a connection; the rest of the target's connection limit may be
     // idle.
     const std::uint32_t slots = std::min(target.slots, target.connections);
@@ -262,6 +268,7 @@
     admission_request request{0,          call.route_kind, call.route,   call.concurrency,
                               call.queue, deadline,        call.priority};
     if (call.objective) request.objective = Now() + *call.objective;
+    if (call.limit_per_second) slots_->OnEntryLimit(*call.limit_per_second);
     const auto waiter =
         std::make_shared<slot_controller::waiting_request>(entry.stream.get_executor());
     admission_decision decision;
@@ -367,6 +374,7 @@
       const response_read_context context{settings_, deps_.metrics};
       failed = co_await ReadResponseHeader(call, *backend, parser, is_head, deadline, context);
     }
+    if (!failed) ApplyLimit(call, parser->get());
     if (!failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
       co_return co_await RelayNotRun(worker, entry, std::move(backend), address, *parser, is_head,
                                      keep_open);
@@ -424,6 +432,18 @@
     co_return keep_open;
   }
 
+  void ApplyLimit(const gate_call& call, const response_message& response) {
+    const auto target = Target();
+    if (!target || target->announcement.instance != call.instance) return;
+    const auto present = slots_->RateLimit();
+    const auto limit = LimitOf(response, settings_.conventions, present);
+    slots_->OnTargetResponse(limit);
+    if (limit == present) return;
+    logging::Info("request rate limit of the target changed",
+                  {{"instance", call.instance},
+                   {"per_minute", limit ? std::llround(*limit * kSecondsPerMinute) : -1}});
+  }
+
   /// Whether the entry is on this vm, so that responses to it do not use the link.
   static bool IsOnThisVm(connection& entry) {
     beast::error_code failed;
@@ -495,6 +515,7 @@
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
   mutable std::mutex mutex_;
   std::optional<current_target> target_;
+  std::string last_instance_;
   std::atomic<std::size_t> active_ = 0;
   std::atomic<bool> closing_ = false;
 };
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -33,6 +33,7 @@
     if (decision.action != admission_action::kWait) co_return decision;
     waiters_.emplace(request.ticket, waiter);
     waiter->timer.expires_at(request.deadline);
+    ScheduleStart();
   }
   co_await waiter->timer.async_wait(kAwait);
   if (!waiter->decision) {
@@ -80,21 +81,64 @@
   WakeWaiters(queue_.StartDraining());
 }
 
+void slot_controller::OnTargetResponse(std::optional<double> limit_per_second) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queue_.RateLimit().OnResponse(limit_per_second, Now());
+  WakeWaiters(queue_.Advance(Now()));
+  ScheduleStart();
+}
+
+void slot_controller::OnEntryLimit(double limit_per_second) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queue_.RateLimit().OnCallerReport(limit_per_second, Now());
+}
+
+void slot_controller::ResetRateLimit() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  queue_.RateLimit().Reset();
+  WakeWaiters(queue_.Advance(Now()));
+}
+
+std::optional<double> slot_controller::RateLimit() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return queue_.RateLimit().PerSecond();
+}
+
+void slot_controller::ScheduleStart() {
+  const auto next = queue_.NextStartAt(Now());
+  if (!next || (scheduled_start_ && *scheduled_start_ <= *next)) return;
+  scheduled_start_ = next;
+  asio::post(context_, [self = shared_from_this(), at = *next] {
+    self->timer_.expires_at(at);
+    self->timer_.async_wait([self](const boost::system::error_code& failed) {
+      if (!failed) self->StartAllowed();
+    });
+  });
+}
+
+void slot_controller::StartAllowed() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  scheduled_start_.reset();
+  WakeWaiters(queue_.Advance(Now()));
+  ScheduleStart();
+}
+
 milliseconds slot_controller::RetryAfter() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return std::max(kMinRetryAfter,
-                  milliseconds(static_cast<std::int64_t>(queue_.ExpectedBacklogMs())));
+                  milliseconds(static_cast<std::int64_t>(queue_.ExpectedBacklogMs(Now()))));
 }
 
 reported_load slot_controller::Load(const std::string& route) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return {queue_.InUse(), queue_.Slots(), queue_.Queued(),
+  return {queue_.InUse(), queue_.UsableSlots(), queue_.Queued(),
           static_cast<std::uint32_t>(queue_.MeanServiceMs(route))};
 }
 
 void slot_controller::Finish(const std::string& route, milliseconds service_time) {
   const std::lock_guard<std::mutex> lock(mutex_);
   WakeWaiters(queue_.Finish(route, service_time, Now()));
+  ScheduleStart();
 }
 
 void slot_controller::WakeWaiters(const std::vector<queue_release>& released) {
--- a/src/proxy/internal/slot_controller.h
+++ b/src/proxy/internal/slot_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
@@ -17,6 +18,9 @@
 /// Allocates the target's slots to coroutines on any worker.
 class slot_controller : public std::enable_shared_from_this<slot_controller> {
  public:
+  /// Requests that wait for the target's rate limit are started on the given context.
+  explicit slot_controller(boost::asio::io_context& context) : context_(context), timer_(context) {}
+
   /// A slot in use; released on destruction.
   class lease {
    public:
@@ -55,6 +59,18 @@
   void RecordResponse(const std::string& route, std::uint64_t bytes, milliseconds processing_time);
   void Drain();
 
+  /// Applies the request rate limit that a response of the target names; nothing if it names none.
+  void OnTargetResponse(std::optional<double> limit_per_second);
+
+  /// Applies the limit that an entry learnt from an earlier response of the same instance.
+  void OnEntryLimit(double limit_per_second);
+
+  /// Forgets the rate limit, for a new instance of the target.
+  void ResetRateLimit();
+
+  /// The request rate limit in force; nothing if there is none.
+  std::optional<double> RateLimit() const;
+
   /// Current load, reported to entries with a response of the route.
   reported_load Load(const std::string& route) const;
 
@@ -65,7 +81,15 @@
   void Finish(const std::string& route, milliseconds service_time);
   void WakeWaiters(const std::vector<queue_release>& released);
 
+  /// Schedules the next start of a request that waits for the rate limit. Called with the lock
+  /// held.
+  void ScheduleStart();
+  void StartAllowed();
+
+  boost::asio::io_context& context_;
+  boost::asio::steady_timer timer_;
   mutable std::mutex mutex_;
+  std::optional<time_point> scheduled_start_;
   admission_queue queue_;
   std::uint64_t last_ticket_ = 0;
   std::map<std::uint64_t, waiting_request_ptr> waiters_;
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -51,6 +51,16 @@
                          response.find(conventions.not_executed_header) != response.end());
 }
 
+std::optional<double> LimitOf(const response_message& response, const http_conventions& conventions,
+                              std::optional<double> present) {
+  if (conventions.limit_header.empty()) return std::nullopt;
+  const auto found = response.find(conventions.limit_header);
+  if (found == response.end()) return std::nullopt;
+  const auto text = found->value();
+  const auto named = ParseDecimal({text.data(), text.size()});
+  return named ? named : present;
+}
+
 bool IsCorrupted(const response_message& response, const http_conventions& conventions) {
   if (conventions.success_proof_header.empty()) return false;
   const bool success = response.result_int() / 100 == 2;
--- a/src/proxy/internal/target_responses.h
+++ b/src/proxy/internal/target_responses.h
@@ -24,6 +24,11 @@
 /// Whether a target's response states that it has not run the request.
 bool IsNotRunResponse(const response_message& response, const http_conventions& conventions);
 
+/// The request rate limit after a response, in requests per second: the one that it names, none if
+/// it does not name one, the present one if what it names cannot be read.
+std::optional<double> LimitOf(const response_message& response, const http_conventions& conventions,
+                              std::optional<double> present);
+
 /// Whether a success response lacks the header of a genuine one or carries a content encoding, so
 /// that it cannot be what the target sent. Never true if the platform has no such header.
 bool IsCorrupted(const response_message& response, const http_conventions& conventions);
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -23,6 +23,9 @@
   std::string not_executed_header;
   /// Present on every genuine success (2xx) response of a target.
   std::string success_proof_header;
+  /// On a response of a target that limits the requests that it gets from all callers together: how
+  /// many a second. In force until a response does not carry it.
+  std::string limit_header;
   /// Whether targets echo the request id in their responses, which reveals a response to another
   /// request.
   bool targets_echo_request_ids = false;
--- a/src/routing/internal/load_board.cc
+++ b/src/routing/internal/load_board.cc
@@ -75,6 +75,26 @@
   });
 }
 
+void load_board::OnLimitReport(const std::string& vm, const std::string& instance,
+                               std::optional<double> per_second) {
+  limits_.WithShard(vm, [&](auto& entries) {
+    if (per_second) {
+      entries[vm] = {instance, *per_second};
+    } else {
+      entries.erase(vm);
+    }
+    return 0;
+  });
+}
+
+std::optional<double> load_board::Limit(const std::string& vm, const std::string& instance) const {
+  return limits_.WithShard(vm, [&](auto& entries) -> std::optional<double> {
+    const auto found = entries.find(vm);
+    if (found == entries.end() || found->second.instance != instance) return std::nullopt;
+    return found->second.per_second;
+  });
+}
+
 target_load load_board::Get(const std::string& vm) const {
   return loads_.WithShard(vm, [&](auto& entries) {
     const auto found = entries.find(vm);
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -75,6 +75,14 @@
   return std::clamp(age_ms / slow_start_ms, kMinSlowStartShare, 1.0);
 }
 
+/// The slots that a target can use, which a limit of its request rate may keep below those it has.
+double UsableSlots(const member_record& member, const target_load& load) {
+  const bool is_reported = load.reported_at != time_point{};
+  const std::uint32_t slots =
+      is_reported ? std::min(member.target->slots, load.reported.slots) : member.target->slots;
+  return std::max<double>(1, slots);
+}
+
 /// Requests per usable slot, with queued ones weighted higher; lower is better.
 double LoadScore(const member_record& member, const document& content,
                  const selection_context& context, const load_board& loads) {
@@ -84,8 +92,8 @@
     weighted_requests = std::max(weighted_requests, static_cast<double>(load.reported.in_use)) +
                         kQueuedWeight * load.reported.queued;
   }
-  const double slots = std::max<double>(1, member.target->slots);
-  return (weighted_requests + 1) / (slots * SlowStartShare(member, content, context));
+  return (weighted_requests + 1) /
+         (UsableSlots(member, load) * SlowStartShare(member, content, context));
 }
 
 /// The expected response time in milliseconds: the round trip, the service time of the target, and
@@ -99,8 +107,7 @@
       load.outstanding, reported * std::exp2(-std::max(0.0, report_age / kReportHalfLife)));
   const double reported_ms = load.service_ms[static_cast<std::size_t>(kind)];
   const double service_ms = reported_ms > 0 ? reported_ms : kDefaultServiceMs;
-  const double slots =
-      std::max<double>(1, member.target->slots) * SlowStartShare(member, content, context);
+  const double slots = UsableSlots(member, load) * SlowStartShare(member, content, context);
   const double utilisation = (requests + 1) / slots;
   const double slowdown =
       kFullLoadSlowdown * std::min(utilisation, 1.0) * std::min(utilisation, 1.0);
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "document/document.h"
@@ -56,10 +57,24 @@
   /// Records that a target itself responded with a failure.
   void OnFailureResponse(const std::string& vm, time_point now);
 
+  /// Records the request rate limit that a response of an instance carried; nothing if none.
+  void OnLimitReport(const std::string& vm, const std::string& instance,
+                     std::optional<double> per_second);
+
+  /// The request rate limit in the last response of the instance; nothing if it named none.
+  std::optional<double> Limit(const std::string& vm, const std::string& instance) const;
+
   target_load Get(const std::string& vm) const;
 
  private:
+  /// Limit that an instance names for the requests that it gets a second.
+  struct named_limit {
+    std::string instance;
+    double per_second = 0;
+  };
+
   mutable sharded_map<std::string, target_load> loads_;
+  mutable sharded_map<std::string, named_limit> limits_;
 };
 
 }  // namespace catkinmoor
