Send nothing more to a target that says in an answer that it leaves

What breaks it: a request that a client sent later than drain after its machine passed on an answer that says that the backend leaves reaches that backend.

Cause: the state of a target came from its heartbeats only, and the answer's header was not read.

Change: the gate that reads such an answer forwards nothing more to that instance, refuses those that wait, and publishes the departure at once, so that a report from before, arriving late, does not make it ready again.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -121,6 +121,9 @@
                },
                [this](const std::string& instance) {
                  asio::post(control_context_, [=, this] { target_.MarkUnreachable(instance); });
+               },
+               [this](const std::string& instance) {
+                 asio::post(control_context_, [=, this] { target_.MarkLeaving(instance); });
                }},
               settings_.proxy),
         target_(control_context_, self_, exchange_, gate_, settings_.target_lease),
--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -108,7 +110,9 @@
                    {"sequence", static_cast<std::int64_t>(report.version.sequence)}});
     return report_outcome::kStale;
   }
-  SetTarget(report.address, report.target);
+  target_announcement target = report.target;
+  target.start_ms = report.version.start_ms;
+  SetTarget(report.address, std::move(target));
   if (report.target.state == target_state::kLeaving && report.version.start_ms != 0) {
     PublishDeparture(report.version.instance, report.version.start_ms);
   }
@@ -117,12 +121,27 @@
 }
 
 void target_registration::MarkDeparted(const std::string& instance, std::uint64_t start_ms) {
+  logging::Info("target deregistered", {{"instance", instance}});
+  EndStart(instance, start_ms);
+  if (target_ && target_->instance == instance) RemoveTarget("departed");
+}
+
+void target_registration::MarkLeaving(const std::string& instance) {
+  const bool is_current = target_ && target_->instance == instance;
+  if (!is_current || target_->state == target_state::kLeaving) return;
+  logging::Info("target stated in a response that it is leaving", {{"instance", instance}});
+  target_announcement leaving = *target_;
+  leaving.state = target_state::kLeaving;
+  SetTarget(address_, std::move(leaving));
+  EndStart(instance, 0);
+  asio::co_spawn(timer_.get_executor(), AwaitDepartureReplication(), asio::detached);
+}
+
+void target_registration::EndStart(const std::string& instance, std::uint64_t start_ms) {
   if (start_ms == 0) start_ms = report_filter_.StartTimeOf(instance);
   if (start_ms == 0) start_ms = UnixMilliseconds();
   report_filter_.MarkDeparted(instance, start_ms);
-  logging::Info("target deregistered", {{"instance", instance}});
   PublishDeparture(instance, start_ms);
-  if (target_ && target_->instance == instance) RemoveTarget("departed");
 }
 
 void target_registration::PublishDeparture(const std::string& instance, std::uint64_t start_ms) {
--- a/src/daemon/target_registration.h
+++ b/src/daemon/target_registration.h
@@ -56,6 +56,10 @@
   /// restarted.
   void RestoreDeparture(const member_record& past);
 
+  /// Ends new requests to an instance that stated in a response that it is leaving. Reports from
+  /// before, which may arrive late, do not make it ready again.
+  void MarkLeaving(const std::string& instance);
+
   /// Removes an instance at whose address nothing listens; its next report registers it again.
   void MarkUnreachable(const std::string& instance);
 
@@ -64,6 +68,9 @@
   void Stop();
 
  private:
+  /// Rejects the reports of a start from now on, and publishes its departure.
+  void EndStart(const std::string& instance, std::uint64_t start_ms);
+
   /// Publishes a departure in this daemon's own member record, which other daemons hold.
   void PublishDeparture(const std::string& instance, std::uint64_t start_ms);
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -30,6 +30,9 @@
   std::uint32_t slots = 1;
   std::uint32_t connections = 130;
   std::uint64_t ready_at_ms = 0;
+  /// Start time of the target in Unix milliseconds, 0 if it does not report it. Distinguishes two
+  /// starts under the same instance id.
+  std::uint64_t start_ms = 0;
 
   friend bool operator==(const target_announcement&, const target_announcement&) = default;
 };
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -123,6 +123,7 @@
   to.set_slots(from.slots);
   to.set_connections(from.connections);
   to.set_ready_at_ms(from.ready_at_ms);
+  to.set_start_ms(from.start_ms);
 }
 
 target_announcement FromWire(const wire::Target& from) {
@@ -132,7 +133,8 @@
           ClampEnum(from.state(), target_state::kLeaving),
           from.slots(),
           from.connections(),
-          from.ready_at_ms()};
+          from.ready_at_ms(),
+          from.start_ms()};
 }
 
 void ToWire(const member_record& from, wire::Member& to) {
--- a/src/proxy/gate_proxy.h
+++ b/src/proxy/gate_proxy.h
@@ -29,6 +29,9 @@
   std::function<void(const std::string& fingerprint)> on_cleared;
   /// Called on any thread when a connection to an instance's address fails as unavailable.
   std::function<void(const std::string& instance)> on_unreachable;
+  /// Called on any thread when an instance states in a response that it is leaving. The gate has
+  /// stopped sending it new requests by then.
+  std::function<void(const std::string& instance)> on_leaving;
 };
 
 /// The inbound proxy of the vm's own target. Requests reach the target only through its gate, so
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -217,6 +217,9 @@
     const std::optional<double> present = deps_.loads.Limit(target.vm, target.target->instance);
     deps_.loads.OnLimitReport(target.vm, target.target->instance,
                               LimitOf(response, settings_.conventions, present));
+    if (IsLeavingResponse(response, settings_.conventions)) {
+      deps_.loads.OnLeaving(target.vm, *target.target);
+    }
   }
   const auto text = response[kLoadHeader];
   const auto load = ParseLoad({text.data(), text.size()});
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -374,7 +374,10 @@
       const response_read_context context{settings_, deps_.metrics};
       failed = co_await ReadResponseHeader(call, *backend, parser, is_head, deadline, context);
     }
-    if (!failed) ApplyLimit(call, parser->get());
+    if (!failed) {
+      ApplyLimit(call, parser->get());
+      if (IsLeavingResponse(parser->get(), settings_.conventions)) EndNewRequests(call.instance);
+    }
     if (!failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
       co_return co_await RelayNotRun(worker, entry, std::move(backend), address, *parser, is_head,
                                      keep_open);
@@ -444,6 +447,18 @@
                    {"per_minute", limit ? std::llround(*limit * kSecondsPerMinute) : -1}});
   }
 
+  /// Sends no new requests to an instance that is leaving.
+  void EndNewRequests(const std::string& instance) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const bool is_current = target_ && target_->announcement.instance == instance;
+      if (!is_current || target_->announcement.state != target_state::kReady) return;
+      target_->announcement.state = target_state::kLeaving;
+    }
+    slots_->SetSlots(0);
+    if (deps_.on_leaving) deps_.on_leaving(instance);
+  }
+
   /// Whether the entry is on this vm, so that responses to it do not use the link.
   static bool IsOnThisVm(connection& entry) {
     beast::error_code failed;
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -61,6 +61,10 @@
   return named ? named : present;
 }
 
+bool IsLeavingResponse(const response_message& response, const http_conventions& conventions) {
+  return !conventions.leaving_header.empty() && response[conventions.leaving_header] == "1";
+}
+
 bool IsCorrupted(const response_message& response, const http_conventions& conventions) {
   if (conventions.success_proof_header.empty()) return false;
   const bool success = response.result_int() / 100 == 2;
--- a/src/proxy/internal/target_responses.h
+++ b/src/proxy/internal/target_responses.h
@@ -29,6 +29,9 @@
 std::optional<double> LimitOf(const response_message& response, const http_conventions& conventions,
                               std::optional<double> present);
 
+/// Whether a response states that its target is leaving.
+bool IsLeavingResponse(const response_message& response, const http_conventions& conventions);
+
 /// Whether a success response lacks the header of a genuine one or carries a content encoding, so
 /// that it cannot be what the target sent. Never true if the platform has no such header.
 bool IsCorrupted(const response_message& response, const http_conventions& conventions);
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -26,6 +26,8 @@
   /// On a response of a target that limits the requests that it gets from all callers together: how
   /// many a second. In force until a response does not carry it.
   std::string limit_header;
+  /// On a response of a target that is leaving, with the value 1.
+  std::string leaving_header;
   /// Whether targets echo the request id in their responses, which reveals a response to another
   /// request.
   bool targets_echo_request_ids = false;
--- a/src/routing/internal/load_board.cc
+++ b/src/routing/internal/load_board.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "framework/base/digest.h"
+
 namespace catkinmoor {
 namespace {
 
@@ -14,6 +16,7 @@
 constexpr milliseconds kMinEjection{500};
 constexpr milliseconds kMaxEjection{8'000};
 constexpr std::uint32_t kMaxEjectionDoublings = 4;
+constexpr std::uint64_t kIdentityHashSeed = 6;
 
 }  // namespace
 
@@ -75,6 +78,17 @@
   });
 }
 
+std::uint64_t TargetIdentity(const target_announcement& target) {
+  const std::uint64_t hash =
+      StableHash(target.instance + "/" + std::to_string(target.start_ms), kIdentityHashSeed);
+  return std::max<std::uint64_t>(hash, 1);
+}
+
+void load_board::OnLeaving(const std::string& vm, const target_announcement& target) {
+  loads_.WithShard(
+      vm, [&](auto& entries) { return entries[vm].leaving_target = TargetIdentity(target); });
+}
+
 void load_board::OnLimitReport(const std::string& vm, const std::string& instance,
                                std::optional<double> per_second) {
   limits_.WithShard(vm, [&](auto& entries) {
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -240,8 +240,10 @@
   for (const member_ptr& each : eligible) {
     if (context.tried_vms.contains(each->vm)) continue;
     if (target_locality == locality::kRegion && each->region != context.region) continue;
-    const bool avoid = loads.Get(each->vm).ejected_until > context.now ||
-                       each->version.state == member_state::kSuspect;
+    const target_load load = loads.Get(each->vm);
+    if (IsLeaving(load, *each->target)) continue;
+    const bool avoid =
+        load.ejected_until > context.now || each->version.state == member_state::kSuspect;
     (avoid ? avoided : healthy).push_back(each);
   }
   std::vector<member_ptr>& candidates = healthy.empty() ? avoided : healthy;
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -8,6 +8,7 @@
 #include "document/document.h"
 #include "framework/base/clock.h"
 #include "framework/base/sharded_map.h"
+#include "membership/member.h"
 
 namespace catkinmoor {
 
@@ -35,8 +36,18 @@
   time_point failure_ratio_at{};
   std::uint32_t consecutive_failures = 0;
   time_point ejected_until{};
+  /// Identity of the target that stated in a response that it is leaving; 0 when none did.
+  std::uint64_t leaving_target = 0;
 };
 
+/// Identifies one start of a target. Never 0.
+std::uint64_t TargetIdentity(const target_announcement& target);
+
+/// Whether a target stated in a response that it is leaving.
+inline bool IsLeaving(const target_load& load, const target_announcement& target) {
+  return load.leaving_target != 0 && load.leaving_target == TargetIdentity(target);
+}
+
 /// The failure ratio of a target, decayed to the given time.
 double FailureRatio(const target_load& load, time_point now);
 
@@ -61,6 +72,9 @@
   void OnLimitReport(const std::string& vm, const std::string& instance,
                      std::optional<double> per_second);
 
+  /// Records that a target stated in a response that it is leaving.
+  void OnLeaving(const std::string& vm, const target_announcement& target);
+
   /// The request rate limit in the last response of the instance; nothing if it named none.
   std::optional<double> Limit(const std::string& vm, const std::string& instance) const;
 
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -142,6 +142,50 @@
   }
 }
 
+// Guards against DRAIN of issue 26: a daemon that has passed on a response that says that its
+// target is leaving sends it nothing more, also when the gate beside it has forgotten that.
+Test(pick_target, of_a_target_that_stated_that_it_leaves_is_not_picked_until_it_starts_again) {
+  const document content = SlotboardDocument();
+  for (const int size : {2, 18, 96}) {
+    std::mt19937_64 random(1);
+    load_board loads;
+    std::vector<member_ptr> members;
+    for (int i = 0; i < size; ++i) members.push_back(Target("vm-" + std::to_string(i), "r", "d"));
+    loads.OnLeaving(members[0]->vm, *members[0]->target);
+    const auto picks = [&](const std::string& vm) {
+      int count = 0;
+      for (int i = 0; i < 50 * size; ++i) {
+        const auto picked =
+            PickTarget(members, content, content.routes[2], ContextIn("r", "d"), loads, random);
+        count += picked->vm == vm ? 1 : 0;
+      }
+      return count;
+    };
+    cr_assert(picks("vm-0") == 0);
+    member_record restarted = *members[0];
+    restarted.version.incarnation += 1;
+    restarted.target->ready_at_ms += 1;
+    members[0] = std::make_shared<const member_record>(restarted);
+    cr_assert(picks("vm-0") == 0, "its daemon restarted and took a late report");
+    members.erase(members.begin() + 1, members.begin() + size / 2);
+    cr_assert(picks("vm-0") == 0, "members were lost");
+    restarted.target->start_ms = 1;
+    // The subset that a daemon uses holds each of few members.
+    members = {std::make_shared<const member_record>(restarted), members.back()};
+    cr_assert(picks("vm-0") > 0, "the target started again");
+  }
+}
+
+Test(pick_target, with_only_leaving_targets_picks_none) {
+  const document content = SlotboardDocument();
+  std::mt19937_64 random(1);
+  load_board loads;
+  const member_ptr only = Target("a", "r", "d");
+  loads.OnLeaving("a", *only->target);
+  cr_assert(PickTarget({only}, content, content.routes[2], ContextIn("r", "d"), loads, random) ==
+            nullptr);
+}
+
 Test(decide_next, over_every_state_retries_only_with_proof_or_when_repeatable) {
   for (const bool repeatable : {false, true}) {
     for (int outcome = 0; outcome <= static_cast<int>(attempt_outcome::kFenced); ++outcome) {
