--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -17,7 +17,6 @@
 namespace catkinmoor {
 namespace {
 
-constexpr int kTargetPort = 8000;
 constexpr std::uint16_t kDaemonLocalPort = 9004;
 constexpr int kIdleTimeoutMs = 1'000;
 constexpr milliseconds kAnnounceInterval{200};
@@ -56,7 +55,7 @@
   listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
   const int enabled = 1;
   ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  const sockaddr_in socket_address = SocketAddress(address, kTargetPort);
+  const sockaddr_in socket_address = SocketAddress(address, kPort);
   const bool bound = ::bind(listener_, reinterpret_cast<const sockaddr*>(&socket_address),
                             sizeof(socket_address)) == 0 &&
                      ::listen(listener_, SOMAXCONN) == 0;
@@ -113,8 +112,7 @@
 
 void scripted_target::AnnouncePeriodically() {
   const std::string body = R"({"service": "slotboard", "slots": 50, "instance": ")" + RandomId() +
-                           R"(", "address": ")" + address_ + ":" + std::to_string(kTargetPort) +
-                           "\"}";
+                           R"(", "address": ")" + address_ + ":" + std::to_string(kPort) + "\"}";
   while (!stopping_) {
     http::SendBlocking({address_, kDaemonLocalPort}, {"POST", "/v1/target", {}, body},
                        kAnnounceTimeout);
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -29,6 +29,9 @@
   scripted_target(const scripted_target&) = delete;
   scripted_target& operator=(const scripted_target&) = delete;
 
+  /// Where a target on an address listens.
+  static constexpr int kPort = 8000;
+
   /// Number of requests received so far.
   int Requests() const { return requests_; }
 
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -33,9 +33,10 @@
   return head.substr(begin, head.find(' ', begin) - begin);
 }
 
-/// Truncates a target's response at every byte, and checks that only the full response reaches the
-/// caller as a success and that any other is reported as a failure of unknown outcome.
-void TruncateAtEveryByte(int subnet, const std::string& full_response) {
+/// Truncates a target's response at every byte up to a size, and checks that only the full response
+/// reaches the caller as a success and that any other is reported as a failure of unknown outcome.
+void TruncateAtEveryByte(int subnet, const std::string& full_response,
+                         std::size_t max_size = std::string::npos) {
   fleet subject({.subnet = subnet, .vms = 1, .start_targets = false});
   const std::string address = "127." + std::to_string(subnet + 1) + ".1.1";
   std::atomic<std::size_t> truncated_size = 0;
@@ -43,7 +44,8 @@
     return scripted_target::response{full_response.substr(0, truncated_size)};
   });
   StartWithDocument(subject);
-  for (truncated_size = 0; truncated_size <= full_response.size(); ++truncated_size) {
+  const std::size_t last_size = std::min(max_size, full_response.size());
+  for (truncated_size = 0; truncated_size <= last_size; ++truncated_size) {
     const auto response = subject.SendToEntry(address, "POST", "/holds/1");
     const bool looks_complete = response.status == 200;
     Require(looks_complete == (truncated_size == full_response.size()),
@@ -68,6 +70,12 @@
                       "7\r\nhello, \r\n5\r\nworld\r\n0\r\n\r\n");
 }
 
+// Without a length, the end of the connection ends the body, but not the head.
+Test(wire, of_a_response_without_a_length_truncated_in_its_head_never_looks_complete) {
+  const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Own: a\r\n\r\n";
+  TruncateAtEveryByte(200, head + "hello, world", head.size() - 1);
+}
+
 Test(wire, of_a_repeatable_request_that_was_lost_is_never_reported_not_run) {
   fleet subject({.subnet = 160, .vms = 1, .start_targets = false});
   const std::string address = subject.Addresses().front();
