Give a daemon that starts behind its predecessor's clock an incarnation of its own

Callers saw unsafe requests run twice, or refused as not run after they had run.

Cause: an incarnation is the time of day at the start. A daemon that finds a record of itself with a later one adopted it (max of both), so that it looked like its predecessor: asked about a request that the predecessor had forwarded, it answered from its empty ledger "never forwarded", and the entry sent it to another backend.

Change: it takes an incarnation greater than the one announced. Entries that ask under the predecessor's get "unknown", which permits no second attempt. A suspicion of the daemon itself raises the sequence only, as before.

--- a/src/distribution/self_record.h
+++ b/src/distribution/self_record.h
@@ -31,7 +31,11 @@
   bool Refute(const member_version& announced) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (announced <= record_.version) return false;
-    record_.version.incarnation = std::max(record_.version.incarnation, announced.incarnation);
+    // A later incarnation is that of a predecessor whose clock was ahead. Under the same one, this
+    // daemon would answer for requests that the predecessor forwarded.
+    if (announced.incarnation > record_.version.incarnation) {
+      record_.version.incarnation = announced.incarnation + 1;
+    }
     record_.version.sequence = std::max(record_.version.sequence, announced.sequence) + 1;
     return true;
   }
--- a/src/distribution/tests/record_exchange_test.cc
+++ b/src/distribution/tests/record_exchange_test.cc
@@ -7,6 +7,7 @@
 namespace asio = boost::asio;
 
 using catkinmoor::member_record;
+using catkinmoor::member_state;
 using catkinmoor::spread_reply;
 using catkinmoor::spread_request;
 using catkinmoor::distribution_tests::in_process_peers;
@@ -49,6 +50,27 @@
   }
 }
 
+// Guards against TWICE of review case 1: a daemon that started behind its predecessor's time of day
+// took over its incarnation and denied the requests that it had forwarded.
+Test(self_record, refuting_a_predecessor_with_a_later_clock_takes_an_incarnation_of_its_own) {
+  member_record started = RecordOf("vm-1", 1);
+  started.version = {1'000, 1, member_state::kAlive};
+  catkinmoor::self_record subject(started);
+  const catkinmoor::member_version predecessor{3'000, 7, member_state::kAlive};
+  cr_assert(subject.Refute(predecessor));
+  cr_assert(subject.Get().version.incarnation > predecessor.incarnation);
+  cr_assert(subject.Get().version > predecessor);
+}
+
+Test(self_record, refuting_a_suspicion_of_itself_keeps_its_incarnation) {
+  member_record started = RecordOf("vm-1", 1);
+  started.version = {1'000, 1, member_state::kAlive};
+  catkinmoor::self_record subject(started);
+  cr_assert(subject.Refute({1'000, 1, member_state::kDead}));
+  cr_assert(subject.Get().version == (catkinmoor::member_version{1'000, 2, member_state::kAlive}));
+  cr_assert_not(subject.Refute({900, 9, member_state::kDead}));
+}
+
 Test(record_exchange, of_a_message_meant_for_another_vm_takes_nothing) {
   asio::io_context context;
   catkinmoor::memory_platform platform;
