--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -1,9 +1,9 @@
 #include "daemon/target_registration.h"
 
 #include <array>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -39,24 +39,23 @@
 
 source_controller::reading_role source_controller::CurrentRole() const {
   if (strategy_.ReadsSource(*deps_.members.View(), deps_.self.Get())) {
-    return reading_role::kForRegion;
+    return reading_role::kSelected;
   }
-  const bool is_lacking = strategy_.SpreadsConfirmations() && deps_.freshness.IsStale(Now());
-  return is_lacking ? reading_role::kForLack : reading_role::kNone;
+  const bool needs_substitute = strategy_.SpreadsConfirmations() && deps_.freshness.IsStale(Now());
+  return needs_substitute ? reading_role::kSubstitute : reading_role::kNone;
 }
 
-milliseconds source_controller::RandomPart(milliseconds duration, int min_percent,
-                                           int max_percent) {
+milliseconds source_controller::Jittered(milliseconds duration, int min_percent, int max_percent) {
   std::uniform_int_distribution<std::int64_t> percent(min_percent, max_percent);
   return duration * percent(random_) / 100;
 }
 
 asio::awaitable<void> source_controller::WaitForNextRead(reading_role role, milliseconds delay) {
-  time_point next = Now() + RandomPart(delay, 80, 120);
+  time_point next = Now() + Jittered(delay, 80, 120);
   if (role == reading_role::kNone && strategy_.SpreadsConfirmations()) {
     // The first daemon that reads confirms the source to the others before they begin.
     const time_point stale_at = deps_.freshness.StaleAt();
-    if (stale_at < next) next = stale_at + RandomPart(settings_.max_source_age, 0, 15);
+    if (stale_at < next) next = stale_at + Jittered(settings_.max_source_age, 0, 15);
   }
   timer_.expires_at(next);
   co_await timer_.async_wait(kAwait);
@@ -81,7 +80,7 @@
           role == reading_role::kNone ? "other daemons read the source"
                                       : "this daemon reads the source",
           {{"position", Position()},
-           {"for_lack_of_readers", role == reading_role::kForLack},
+           {"substitute", role == reading_role::kSubstitute},
            {"confirmed_age_ms", static_cast<std::int64_t>(deps_.freshness.Age(Now()).count())}});
       previous_role = role;
     }
@@ -90,11 +89,11 @@
       failing = false;
       continue;
     }
-    const bool for_region = role == reading_role::kForRegion;
+    const bool is_selected = role == reading_role::kSelected;
     const milliseconds wait =
-        is_first_read ? kFirstReadWait : RandomPart(settings_.source_long_poll_wait, 80, 100);
+        is_first_read ? kFirstReadWait : Jittered(settings_.source_long_poll_wait, 80, 100);
     const auto read =
-        co_await ReadOnce(wait, for_region ? spread_range::kRegion : spread_range::kDataCentre);
+        co_await ReadOnce(wait, is_selected ? spread_range::kRegion : spread_range::kDataCentre);
     if (Ok(read)) {
       if (failing) logging::Info("source readable again", {{"position", Position()}});
       failing = false;
@@ -104,7 +103,7 @@
     logging::Warning("source read failed; next read delayed", Failure(read));
     failing = true;
     // All daemons lack a confirmation while the source is down for everyone.
-    delay = for_region ? std::min(delay * 2, kMaxRetryDelay) : settings_.max_source_age;
+    delay = is_selected ? std::min(delay * 2, kMaxRetryDelay) : settings_.max_source_age;
   }
 }
 
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -32,16 +32,18 @@
  private:
   /// Why this daemon reads the source.
   enum class reading_role {
-    kNone,       ///< Other daemons read it.
-    kForRegion,  ///< The strategy selected this daemon.
-    kForLack,    ///< No other daemon is known to read it at present.
+    kNone,        ///< Other daemons read it.
+    kSelected,    ///< The strategy selected this daemon.
+    kSubstitute,  ///< No other daemon is known to read it at present.
   };
 
   reading_role CurrentRole() const;
   boost::asio::awaitable<void> WaitForNextRead(reading_role role, milliseconds delay);
   boost::asio::awaitable<result<bool>> ReadOnce(milliseconds wait, spread_range range);
   std::vector<document_version> OfferAll(std::vector<document_version> documents);
-  milliseconds RandomPart(milliseconds duration, int min_percent, int max_percent);
+
+  /// A random part of a duration.
+  milliseconds Jittered(milliseconds duration, int min_percent, int max_percent);
   std::int64_t Position() const;
 
   distribution_dependencies deps_;
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -215,8 +215,8 @@
                            attempt.outcome == attempt_outcome::kFailureResponse;
   if (from_target) {
     const std::optional<double> present = deps_.loads.Limit(target.vm, target.target->instance);
-    deps_.loads.OnLimitReport(target.vm, target.target->instance,
-                              LimitOf(response, settings_.conventions, present));
+    const std::optional<double> limit = LimitOf(response, settings_.conventions, present);
+    if (limit != present) deps_.loads.OnLimitReport(target.vm, target.target->instance, limit);
     if (IsLeavingResponse(response, settings_.conventions)) {
       deps_.loads.OnLeaving(target.vm, *target.target);
     }
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -435,9 +435,13 @@
     co_return keep_open;
   }
 
+  bool IsCurrentTarget(const std::string& instance) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return target_ && target_->announcement.instance == instance;
+  }
+
   void ApplyLimit(const gate_call& call, const response_message& response) {
-    const auto target = Target();
-    if (!target || target->announcement.instance != call.instance) return;
+    if (!IsCurrentTarget(call.instance)) return;
     const auto present = slots_->RateLimit();
     const auto limit = LimitOf(response, settings_.conventions, present);
     slots_->OnTargetResponse(limit);
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -83,7 +83,9 @@
 
 void slot_controller::OnTargetResponse(std::optional<double> limit_per_second) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  const auto previous = queue_.RateLimit().PerSecond();
   queue_.RateLimit().OnResponse(limit_per_second, Now());
+  if (queue_.RateLimit().PerSecond() == previous) return;
   WakeWaiters(queue_.Advance(Now()));
   ScheduleStart();
 }
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -150,6 +150,7 @@
     std::mt19937_64 random(1);
     load_board loads;
     std::vector<member_ptr> members;
+    members.reserve(static_cast<std::size_t>(size));
     for (int i = 0; i < size; ++i) members.push_back(Target("vm-" + std::to_string(i), "r", "d"));
     loads.OnLeaving(members[0]->vm, *members[0]->target);
     const auto picks = [&](const std::string& vm) {
