Answer every request that a stopping daemon holds before it ends

After SIGTERM of one daemon, requests that it had read and that waited in other daemons' queues ended with a closed connection 0.3 to 0.6 s before their deadline, without having run, so that callers of unsafe requests could not try again.

Cause: the stop bounded its own time, and nothing told the entry's waits. At the end of the drain time the worker threads were stopped under them. Evidence: `drain timed out` at 5.006 s, connections closed at 5.308 s, no `attempt failed` and no `call refused` anywhere. Ruled out: a queue of the own gate (it refuses with `draining`), an answer that was decided and not written (`request not served` would be there).

Change: stop_schedule plans the phases of a stop from the whole of its time. The deadline that an entry passes on ends before the stop does; before the end, requests that wait at gates are fenced there and answered 503, and those that run are answered 502 or 504 at the end; a body that is still arriving is answered 503.

Why it works: a fence proves that a waiting request never runs, so that its 503 is true; every wait of the entry now ends by the stop's own times.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -15,6 +15,7 @@
 #include <random>
 
 #include "administration/administration_service.h"
+#include "daemon/stop_schedule.h"
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
 #include "distribution/membership_controller.h"
@@ -35,9 +36,6 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr milliseconds kDrainPollInterval{20};
-constexpr milliseconds kLeaveSpreadTime{300};
-/// Time for other daemons to learn that a target leaves before its gate refuses requests.
-constexpr milliseconds kWithdrawalLead{400};
 constexpr milliseconds kCleanupInterval{10'000};
 constexpr milliseconds kIdleConnectionTimeout{20'000};
 constexpr std::uint64_t kMaxAdministrationBodyBytes = kMaxDocumentBytes;
@@ -340,35 +338,56 @@
     asio::co_spawn(control_context_, StopGracefully(), asio::detached);
   }
 
-  /// Announces that the target is leaving, refuses new requests, waits for active requests up to
-  /// the drain timeout, and publishes that the daemon has left.
+  /// Serves during the notice, in which callers turn to other daemons, and then refuses new
+  /// requests and waits for active ones. Every request is answered before the process ends.
   asio::awaitable<void> StopGracefully() {
+    const time_point begin = Now();
+    const stop_schedule schedule = PlanStop(settings_.drain_notice_period, settings_.drain_timeout);
     asio::steady_timer timer(control_context_);
-    // During the notice, callers turn to other daemons, and the target goes on working.
-    const milliseconds lead = std::min(kWithdrawalLead, settings_.drain_notice_period);
-    timer.expires_after(settings_.drain_notice_period - lead);
+    entry_.LimitDeadlines(begin + schedule.target_deadline);
+    timer.expires_at(begin + schedule.withdraw);
     co_await timer.async_wait(kAwait);
     target_.Withdraw();
-    timer.expires_after(lead);
+    timer.expires_at(begin + schedule.drain);
     co_await timer.async_wait(kAwait);
     gate_.Drain();
     entry_.Drain();
-    const time_point end = Now() + settings_.drain_timeout;
-    while ((entry_.ActiveRequests() > 0 || gate_.ActiveRequests() > 0) && Now() < end) {
-      timer.expires_after(kDrainPollInterval);
-      co_await timer.async_wait(kAwait);
-    }
-    if (entry_.ActiveRequests() > 0 || gate_.ActiveRequests() > 0) {
-      logging::Warning("drain timed out; stopping with requests still active");
-    }
-    gate_.StopAccepting();
+    co_await AwaitNoActiveRequests(begin + schedule.end_attempts);
+    entry_.EndAttempts();
+    co_await AwaitNoActiveRequests(begin + schedule.leave);
     self_.Update([](member_record& record) {
       record.version.state = member_state::kLeft;
       record.target.reset();
     });
     exchange_.AnnounceSelf();
-    timer.expires_after(kLeaveSpreadTime);
+    const time_point left_at = Now();
+    co_await AwaitNoActiveRequests(begin + schedule.end_waits);
+    entry_.EndWaits();
+    co_await AwaitNoActiveRequests(begin + schedule.end);
+    if (HasActiveRequests()) {
+      logging::Warning("drain timed out; stopping with requests still active",
+                       {{"entry", static_cast<std::int64_t>(entry_.ActiveRequests())},
+                        {"gate", static_cast<std::int64_t>(gate_.ActiveRequests())}});
+    }
+    gate_.StopAccepting();
+    timer.expires_at(left_at + kLeaveSpreadTime);
     co_await timer.async_wait(kAwait);
+    StopServices();
+  }
+
+  bool HasActiveRequests() const {
+    return entry_.ActiveRequests() > 0 || gate_.ActiveRequests() > 0;
+  }
+
+  asio::awaitable<void> AwaitNoActiveRequests(time_point end) {
+    asio::steady_timer timer(control_context_);
+    while (HasActiveRequests() && Now() < end) {
+      timer.expires_at(std::min(Now() + kDrainPollInterval, end));
+      co_await timer.async_wait(kAwait);
+    }
+  }
+
+  void StopServices() {
     reload_signal_.cancel();
     witness_timer_.cancel();
     reload_timer_.cancel();
--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -1,12 +1,15 @@
 // Guarantees for requests, tested with real processes that are killed, paused and stopped under
 // load.
 
+#include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <future>
 #include <random>
 #include <thread>
 
 #include "process_tests/fleet.h"
+#include "process_tests/scripted_target.h"
 
 #include <criterion/criterion.h>
 
@@ -156,6 +159,76 @@
   Require(subject.WaitForDaemonExit(stopping) == 0);
 }
 
+// A daemon that stopped closed the connections of requests that waited in other gates' queues, so
+// that their callers could not tell whether they had run.
+Test(serving, at_an_entry_that_stops_answers_requests_that_wait_at_other_gates) {
+  fleet subject({.subnet = 184,
+                 .vms = 2,
+                 .extra_target_settings = R"(, "slots": 1)",
+                 .extra_daemon_settings = R"(, "drain_notice_ms": 300, "drain_timeout_ms": 1500)",
+                 .start_targets = false});
+  subject.Start();
+  const std::string stopping = subject.Addresses().front();
+  subject.StartTarget(subject.Addresses().back());
+  Require(subject.PutDocument(stopping, SlotboardDocument(), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(stopping, 1);
+  const auto send = [&](const char* method, const char* target) {
+    return std::async(std::launch::async, [&, method, target] {
+      return subject.SendToEntry(stopping, method, target);
+    });
+  };
+  auto running = send("POST", "/running?work_ms=3900");
+  WaitUntil("the target to run a request",
+            [&] { return subject.CountInTargetLedgers("\"path\":\"/running\"") == 1; });
+  constexpr int kWaiting = 6;
+  std::vector<std::future<catkinmoor::http::response>> waiting;
+  waiting.reserve(kWaiting);
+  for (int i = 0; i < kWaiting; ++i)
+    waiting.push_back(send(i % 2 == 0 ? "POST" : "GET", "/waiting"));
+  subject.SignalDaemon(stopping, SIGTERM);
+  for (auto& each : waiting) {
+    const auto response = each.get();
+    Require(response.status == 503, std::to_string(response.status) + " " + response.body);
+    Require(HeaderValue(response.headers, "x-catkinmoor-outcome") == "not-run");
+    Require(!HeaderValue(response.headers, "retry-after").empty());
+  }
+  const auto response = running.get();
+  Require(response.status == 502, std::to_string(response.status) + " " + response.body);
+  Require(HeaderValue(response.headers, "x-catkinmoor-outcome") == "unknown");
+  Require(subject.WaitForDaemonExit(stopping) == 0);
+  Require(subject.CountInTargetLedgers("\"path\":\"/waiting\"") == 0);
+}
+
+// Requests taken during the notice of a stop reached targets with a deadline after its end, so that
+// targets worked on answers that could not be delivered.
+Test(serving, at_an_entry_that_stops_gives_targets_no_deadline_after_its_end) {
+  fleet subject({.subnet = 188,
+                 .vms = 2,
+                 .extra_daemon_settings = R"(, "drain_notice_ms": 3000, "drain_timeout_ms": 800)",
+                 .start_targets = false});
+  subject.Start();
+  const std::string stopping = subject.Addresses().front();
+  std::atomic<int> deadline_ms = 0;
+  const catkinmoor::scripted_target target(
+      subject.Addresses().back(), [&](const std::string& head) {
+        const std::string name = "x-catkinmoor-deadline-ms: ";
+        deadline_ms = std::atoi(head.substr(head.find(name) + name.size()).c_str());
+        return catkinmoor::scripted_target::response{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                                     true};
+      });
+  Require(subject.PutDocument(stopping, SlotboardDocument(), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(stopping, 1);
+  Require(subject.SendToEntry(stopping, "POST", "/before").status == 200);
+  Require(deadline_ms > 3'800 && deadline_ms <= 4'000, std::to_string(deadline_ms));
+  subject.SignalDaemon(stopping, SIGTERM);
+  WaitUntil("the daemon to say that it is not ready", [&] { return !subject.IsReady(stopping); });
+  Require(subject.SendToEntry(stopping, "POST", "/after").status == 200);
+  Require(deadline_ms > 0 && deadline_ms < 3'800, std::to_string(deadline_ms));
+  Require(subject.WaitForDaemonExit(stopping) == 0);
+}
+
 Test(serving, at_an_entry_that_stops_under_load_aborts_no_accepted_request) {
   fleet subject({.subnet = 40, .vms = 2});
   StartServing(subject);
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -51,9 +51,20 @@
   /// Until the entry is ready, it responds to every request with the outcome "not-run".
   void SetReady(bool ready);
 
+  /// Limits the deadlines that targets are given, for a stop after which their responses could not
+  /// be delivered.
+  void LimitDeadlines(time_point last_deadline);
+
   /// Stops accepting connections and closes idle ones; requests in progress continue.
   void Drain();
 
+  /// Answers requests that no target has begun as not run: those that wait at a gate are fenced
+  /// there, and none is sent any more.
+  void EndAttempts();
+
+  /// Answers requests that wait for a target's response as unknown.
+  void EndWaits();
+
   /// Number of requests in progress.
   std::size_t ActiveRequests() const;
 
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -17,6 +17,10 @@
 constexpr unsigned kMinFailureStatus = 500;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
 
+milliseconds TimeUntil(time_point moment) {
+  return std::chrono::duration_cast<milliseconds>(moment - Now());
+}
+
 }  // namespace
 
 std::optional<milliseconds> attempt_sender::RemainingObjective(const call_state& call) {
@@ -39,14 +43,13 @@
 
 gate_call attempt_sender::MakeGateCall(const call_state& call, const member_record& target,
                                        const std::string& attempt_id) const {
-  const auto time_left = std::chrono::duration_cast<milliseconds>(call.deadline - Now());
   return {attempt_id,
           target.version.incarnation,
           target.target->instance,
           call.service,
           call.matched_route->name,
           call.matched_route->traffic_class,
-          time_left,
+          TimeUntil(stop_.LimitDeadline(call.deadline)),
           call.matched_route->repeatable,
           call.matched_route->concurrency,
           call.matched_route->queue,
@@ -64,17 +67,29 @@
   attempt_result attempt;
   attempt.gate = worker.pool.TakeIdle(target.gate, settings_.idle_timeout);
   if (attempt.gate == nullptr) {
-    const auto time_left = std::chrono::duration_cast<milliseconds>(call.deadline - Now());
     const endpoint gate_address = settings_.translation.Translate(target.gate);
-    auto opened = co_await Connect(gate_address, std::min(time_left, settings_.connect_timeout));
+    const milliseconds timeout = std::min(TimeUntil(call.deadline), settings_.connect_timeout);
+    auto opened = co_await Connect(gate_address, timeout);
     if (!Ok(opened)) {
       attempt.failure = Failure(opened);
       co_return attempt;
     }
     attempt.gate = std::move(Value(opened));
   }
+  if (stop_.AttemptsEnded()) {
+    attempt.outcome = attempt_outcome::kRefused;
+    attempt.reason = kReasonDraining;
+    attempt.failure = {error_kind::kRefused, "entry", "", "the daemon is stopping"};
+    co_return attempt;
+  }
   deps_.loads.OnRequestStarted(target.vm);
   const gate_call to_gate = MakeGateCall(call, target, attempt_id);
+  const auto wait =
+      std::make_shared<response_wait>(attempt.gate->stream.get_executor(), target, attempt_id);
+  wait->gate = attempt.gate.get();
+  wait->repeatable = call.matched_route->repeatable && !call.streams_body;
+  worker.response_waits.insert(wait.get());
+  ScheduleGateQuery(wait, TimeUntil(call.deadline));
   if (call.streams_body) {
     co_await SendStreaming(caller, parser, call, to_gate, attempt);
   } else {
@@ -83,64 +98,64 @@
   const bool awaiting_response =
       attempt.outcome == attempt_outcome::kLost && attempt.response == nullptr;
   if (awaiting_response && !attempt.caller_disconnected) {
-    const auto wait = StartSilenceCheck(call, attempt, target, attempt_id, Now());
+    ScheduleGateQuery(wait, SilenceCheckDelay(call));
     co_await ReadGateResponse(caller, call, attempt);
-    wait->active = false;
-    wait->timer.cancel();
-    ApplyReportedFate(*wait, attempt);
   }
+  worker.response_waits.erase(wait.get());
+  wait->active = false;
+  wait->timer.cancel();
+  if (awaiting_response) ApplyReportedFate(*wait, attempt);
   deps_.loads.OnRequestEnded(target.vm);
   if (attempt.response != nullptr) co_await ClassifyResponse(worker, target, attempt);
   if (attempt.failure.peer.empty()) attempt.failure.peer = ToString(target.gate);
   co_return attempt;
 }
 
-std::shared_ptr<response_wait> attempt_sender::StartSilenceCheck(const call_state& call,
-                                                                 const attempt_result& attempt,
-                                                                 const member_record& target,
-                                                                 const std::string& attempt_id,
-                                                                 time_point sent_at) {
-  auto wait = std::make_shared<response_wait>(attempt.gate->stream.get_executor());
-  wait->gate = attempt.gate.get();
-  wait->repeatable = call.matched_route->repeatable && !call.streams_body;
+milliseconds attempt_sender::SilenceCheckDelay(const call_state& call) const {
   // A route's latency objective is an upper bound of its usual response time.
   const milliseconds objective = call.matched_route->latency_objective;
   const bool has_objective = objective.count() > 0;
-  wait->timer.expires_after(has_objective ? std::min(objective, settings_.silence_check_interval)
-                                          : settings_.silence_check_interval);
-  wait->timer.async_wait(
-      [this, wait, target, attempt_id, sent_at](const beast::error_code& failed) {
-        if (failed || !wait->active) return;
-        asio::co_spawn(wait->timer.get_executor(),
-                       QueryGateWhileSilent(wait, target, attempt_id, sent_at), asio::detached);
-      });
-  return wait;
+  return has_objective ? std::min(objective, settings_.silence_check_interval)
+                       : settings_.silence_check_interval;
+}
+
+void attempt_sender::ScheduleGateQuery(const std::shared_ptr<response_wait>& wait,
+                                       milliseconds delay) {
+  if (wait->is_querying_gate) return;
+  wait->timer.expires_after(delay);
+  wait->timer.async_wait([this, wait](const beast::error_code& cancelled) {
+    const bool rescheduled = cancelled && !stop_.AttemptsEnded();
+    if (rescheduled || !wait->active || wait->is_querying_gate) return;
+    wait->is_querying_gate = true;
+    asio::co_spawn(wait->timer.get_executor(), QueryGateWhileSilent(wait), asio::detached);
+  });
 }
 
-asio::awaitable<void> attempt_sender::QueryGateWhileSilent(std::shared_ptr<response_wait> wait,
-                                                           member_record target,
-                                                           std::string attempt_id,
-                                                           time_point sent_at) {
+asio::awaitable<void> attempt_sender::QueryGateWhileSilent(std::shared_ptr<response_wait> wait) {
+  const member_record& target = wait->target;
   bool responded_before = false;
   while (wait->active) {
-    const request_fate fate =
-        co_await QueryGate(target, attempt_id, sent_at, true, settings_.fence_timeout);
+    const bool stopping = stop_.AttemptsEnded();
+    const request_fate fate = co_await QueryGate(target, wait->attempt_id, wait->sent_at, !stopping,
+                                                 settings_.fence_timeout);
     if (!wait->active) co_return;
     const bool responded = fate == request_fate::kResponded;
     // The response may have been in transit at the first query, so a second one must confirm it.
     if (fate == request_fate::kNeverForwarded || (responded && responded_before)) {
       wait->fate = fate;
-      wait->gate->stream.cancel();
+      wait->ended_by_stop = stopping;
+      Abort(*wait->gate);
       co_return;
     }
     const member_ptr current = deps_.members.Find(target.vm);
     if (fate == request_fate::kUnknown &&
         ShouldAbandonUnreachable(wait->repeatable, current.get(), target.version.incarnation)) {
       wait->gate_unreachable = true;
-      wait->gate->stream.cancel();
+      Abort(*wait->gate);
       co_return;
     }
     responded_before = responded;
+    if (!stopping && stop_.AttemptsEnded()) continue;
     wait->timer.expires_after(settings_.silence_check_interval);
     co_await wait->timer.async_wait(kAwait);
   }
@@ -153,12 +168,13 @@
     attempt.gate_queried = true;
     attempt.reason = "unheard";
   }
-  if (wait.fate == request_fate::kUnknown || attempt.response != nullptr) return;
-  attempt.connection_silent = true;
+  const bool has_fate = wait.fate != request_fate::kUnknown;
+  if (attempt.response != nullptr || (!has_fate && !wait.ended_by_stop)) return;
+  attempt.connection_silent = !wait.ended_by_stop;
   attempt.gate_queried = true;
   attempt.caller_disconnected = false;
   if (wait.fate == request_fate::kNeverForwarded) attempt.outcome = attempt_outcome::kFenced;
-  attempt.reason = "silent";
+  attempt.reason = wait.ended_by_stop ? kReasonDraining : "silent";
 }
 
 asio::awaitable<void> attempt_sender::SendBuffered(request_parser& parser, const call_state& call,
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -3,6 +3,7 @@
 #include "peer/peer_transport.h"
 #include "proxy/entry_proxy.h"
 #include "proxy/internal/entry_call.h"
+#include "proxy/internal/stop_limits.h"
 
 namespace catkinmoor::proxy_internal {
 
@@ -10,8 +11,8 @@
 class attempt_sender {
  public:
   attempt_sender(entry_dependencies dependencies, peer_client& peers,
-                 const proxy_settings& settings)
-      : deps_(dependencies), peers_(peers), settings_(settings) {}
+                 const proxy_settings& settings, const stop_limits& stop)
+      : deps_(dependencies), peers_(peers), settings_(settings), stop_(stop) {}
 
   /// Queries the gate over another connection about the fate of an attempt. This also fences the
   /// attempt, unless it is waiting and except_waiting is set.
@@ -34,17 +35,14 @@
   gate_call MakeGateCall(const call_state& call, const member_record& target,
                          const std::string& attempt_id) const;
 
-  /// Starts to query the gate about an attempt for as long as no response arrives. The attempt's
-  /// connection may be dead while others work.
-  std::shared_ptr<response_wait> StartSilenceCheck(const call_state& call,
-                                                   const attempt_result& attempt,
-                                                   const member_record& target,
-                                                   const std::string& attempt_id,
-                                                   time_point sent_at);
+  /// Queries the gate about an attempt for as long as no response arrives: first after `delay`, or
+  /// as soon as the timer of the wait is cancelled by a planned stop.
+  void ScheduleGateQuery(const std::shared_ptr<response_wait>& wait, milliseconds delay);
 
-  asio::awaitable<void> QueryGateWhileSilent(std::shared_ptr<response_wait> wait,
-                                             member_record target, std::string attempt_id,
-                                             time_point sent_at);
+  /// Time without a response after which the attempt's connection may be dead while others work.
+  milliseconds SilenceCheckDelay(const call_state& call) const;
+
+  asio::awaitable<void> QueryGateWhileSilent(std::shared_ptr<response_wait> wait);
 
   static void ApplyReportedFate(const response_wait& wait, attempt_result& attempt);
 
@@ -72,6 +70,7 @@
   entry_dependencies deps_;
   peer_client& peers_;
   const proxy_settings& settings_;
+  const stop_limits& stop_;
 };
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -59,14 +59,6 @@
                                    {"version", DocumentVersion(call)}});
 }
 
-milliseconds TimeLeft(const call_state& call) {
-  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(call.deadline - Now()));
-}
-
-}  // namespace
-
-namespace {
-
 /// An attempt that a target failed with a response of its own, kept in case no other target
 /// succeeds.
 struct deferred_failure {
@@ -85,6 +77,17 @@
 
 }  // namespace
 
+milliseconds call_dispatcher::TimeLeft(const call_state& call) const {
+  const auto left = stop_.LimitDeadline(call.deadline) - Now();
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(left));
+}
+
+bool call_dispatcher::WillOutlastStop(const call_state& call, const target_load& load) const {
+  if (stop_.LimitDeadline(call.deadline) == call.deadline) return false;
+  const auto traffic_class = static_cast<std::size_t>(call.matched_route->traffic_class);
+  return load.service_ms[traffic_class] > static_cast<double>(TimeLeft(call).count());
+}
+
 asio::awaitable<bool> call_dispatcher::Dispatch(entry_worker_state& worker, connection& caller,
                                                 request_parser& parser, call_state& call) {
   const document& content = call.document->content;
@@ -102,7 +105,13 @@
         EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
     const member_ptr target =
         PickTarget(eligible, content, *call.matched_route, context, deps_.loads, worker.random);
-    if (target == nullptr) {
+    const target_load load = target == nullptr ? target_load{} : deps_.loads.Get(target->vm);
+    const bool outlasts_stop = target != nullptr && WillOutlastStop(call, load);
+    if (outlasts_stop) {
+      fallback = NotRunResponse(503, kReasonDraining, "pick target",
+                                "the daemon stops before a response is expected");
+    }
+    if (target == nullptr || outlasts_stop) {
       if (FinalStep(state) == next_step::kReportUnknown)
         fallback = UnknownResponse(call, std::move(fallback.failure));
       break;
@@ -117,7 +126,6 @@
     if (state.attempts_made > 1) CountMetric("catkinmoor_retries_total", call);
     const std::string attempt_id = RandomId();
     const time_point sent_at = Now();
-    const target_load load = deps_.loads.Get(target->vm);
     attempt_result attempt =
         co_await sender_.MakeAttempt(worker, caller, parser, call, *target, attempt_id);
     if (attempt.caller_disconnected) co_return false;
@@ -175,7 +183,7 @@
 next_step call_dispatcher::DecideNextStep(const call_state& call, attempt_state state,
                                           attempt_outcome outcome) {
   state.outcome = outcome;
-  state.time_left = TimeLeft(call);
+  state.time_left = stop_.AttemptsEnded() ? milliseconds(0) : TimeLeft(call);
   const retry_kind kind =
       outcome == attempt_outcome::kRefusedOverload ? retry_kind::kNotRun : retry_kind::kMayHaveRun;
   return DecideNext(*call.matched_route, state, [&] {
@@ -328,7 +336,7 @@
   RecordRequest(call, response.status, response.outcome);
   LogLocalResponse(call, response);
   bool discarded = false;
-  if (!call.expects_continue) {
+  if (!call.expects_continue && !stop_.AttemptsEnded()) {
     discarded = co_await DiscardBody(caller, parser, settings_.progress_timeout);
   }
   co_return co_await SendLocalResponse(caller, response, discarded && call.keep_alive && !draining_,
--- a/src/proxy/internal/call_dispatcher.h
+++ b/src/proxy/internal/call_dispatcher.h
@@ -12,11 +12,13 @@
 class call_dispatcher {
  public:
   call_dispatcher(entry_dependencies dependencies, peer_client& peers,
-                  const proxy_settings& settings, const std::atomic<bool>& draining)
+                  const proxy_settings& settings, const std::atomic<bool>& draining,
+                  const stop_limits& stop)
       : deps_(dependencies),
         settings_(settings),
         draining_(draining),
-        sender_(dependencies, peers, settings) {}
+        stop_(stop),
+        sender_(dependencies, peers, settings, stop) {}
 
   /// Tries targets until a response can be delivered or no further attempt is allowed. Returns
   /// whether the caller's connection can be reused.
@@ -27,6 +29,12 @@
                                        const call_state& call, local_response response);
 
  private:
+  /// Time in which a response can still be delivered.
+  milliseconds TimeLeft(const call_state& call) const;
+
+  /// Whether a target usually takes longer than a planned stop leaves for its response.
+  bool WillOutlastStop(const call_state& call, const target_load& load) const;
+
   next_step DecideNextStep(const call_state& call, attempt_state state, attempt_outcome outcome);
 
   selection_context MakeSelectionContext() const;
@@ -63,6 +71,7 @@
   entry_dependencies deps_;
   const proxy_settings& settings_;
   const std::atomic<bool>& draining_;
+  const stop_limits& stop_;
   attempt_sender sender_;
 };
 
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -45,6 +45,7 @@
 
 /// Response reason: requests with the same fingerprint crashed targets.
 inline constexpr const char* kReasonQuarantined = "quarantined";
+inline constexpr const char* kReasonDraining = "draining";
 
 /// Response reason: the target itself rejected the request.
 inline constexpr const char* kReasonTargetRefused = "target-refused";
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -37,11 +37,19 @@
 
 /// A wait for a gate's response, shared with the coroutine that checks on the request meanwhile.
 struct response_wait {
-  explicit response_wait(const asio::any_io_executor& executor) : timer(executor) {}
+  response_wait(const asio::any_io_executor& executor, member_record asked_target, std::string id)
+      : timer(executor), target(std::move(asked_target)), attempt_id(std::move(id)) {}
 
+  /// Expires when the gate is to be queried.
   asio::steady_timer timer;
+  member_record target;
+  std::string attempt_id;
+  time_point sent_at = Now();
   connection* gate = nullptr;
   bool active = true;
+  bool is_querying_gate = false;
+  /// Whether a planned stop of the daemon has ended the wait.
+  bool ended_by_stop = false;
   request_fate fate = request_fate::kUnknown;
   /// Whether the request may be run again from the start.
   bool repeatable = false;
@@ -81,6 +89,9 @@
   connection_pool pool;
   std::mt19937_64 random;
   std::set<connection*> idle_callers;
+  /// Callers whose request body is being read.
+  std::set<connection*> sending_callers;
+  std::set<response_wait*> response_waits;
 };
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -36,6 +36,10 @@
   return ParseInteger({text.data(), text.size()}).value_or(fallback);
 }
 
+local_response StoppingResponse() {
+  return NotRunResponse(503, kReasonDraining, "entry", "the daemon is stopping");
+}
+
 local_response NoRouteResponse(route_mismatch reason) {
   switch (reason) {
     case route_mismatch::kWrongMethod:
@@ -59,7 +63,7 @@
       : workers_(workers),
         deps_(dependencies),
         settings_(settings),
-        dispatcher_(dependencies, peers, settings_, draining_) {
+        dispatcher_(dependencies, peers, settings_, draining_, stop_) {
     std::random_device seed;
     for (std::size_t i = 0; i < workers.Size(); ++i) worker_states_.emplace_back(settings_, seed());
   }
@@ -88,6 +92,30 @@
     }
   }
 
+  void LimitDeadlines(time_point last_deadline) { stop_.SetLastDeadline(last_deadline); }
+
+  void EndAttempts() {
+    stop_.EndAttempts();
+    for (std::size_t i = 0; i < workers_.Size(); ++i) {
+      asio::post(workers_.Context(i), [self = shared_from_this(), i] {
+        entry_worker_state& worker = self->worker_states_[i];
+        for (connection* each : worker.sending_callers) each->stream.cancel();
+        for (response_wait* each : worker.response_waits) each->timer.cancel();
+      });
+    }
+  }
+
+  void EndWaits() {
+    for (std::size_t i = 0; i < workers_.Size(); ++i) {
+      asio::post(workers_.Context(i), [self = shared_from_this(), i] {
+        for (response_wait* each : self->worker_states_[i].response_waits) {
+          each->ended_by_stop = true;
+          Abort(*each->gate);
+        }
+      });
+    }
+  }
+
   std::size_t ActiveRequests() const { return active_; }
 
   void ClearPools() {
@@ -173,7 +201,7 @@
                             "a request must have exactly one Host header");
     }
     if (!ready_) return NotRunResponse(503, "not-ready", "entry", "the daemon has not joined yet");
-    if (draining_) return NotRunResponse(503, "draining", "entry", "the daemon is stopping");
+    if (draining_) return StoppingResponse();
     call.document = deps_.documents.InForce(call.service);
     if (call.document == nullptr && !mesh_document.empty()) {
       return NotRunResponse(503, "not-ready", "find document",
@@ -236,8 +264,14 @@
     const auto length = parser.content_length();
     call.streams_body = length && static_cast<std::int64_t>(*length) > settings_.max_replay_bytes;
     if (!call.streams_body && !parser.is_done()) {
+      worker.sending_callers.insert(&caller);
       const body_outcome outcome = co_await BufferBody(caller, parser, call);
-      if (outcome == body_outcome::kDisconnected) co_return false;
+      worker.sending_callers.erase(&caller);
+      if (outcome == body_outcome::kDisconnected) {
+        if (!stop_.AttemptsEnded()) co_return false;
+        call.keep_alive = false;
+        co_return co_await dispatcher_.RespondLocally(caller, parser, call, StoppingResponse());
+      }
       if (outcome == body_outcome::kMalformed) {
         call.keep_alive = false;
         local_response refused =
@@ -266,6 +300,7 @@
   std::atomic<std::size_t> active_ = 0;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
+  stop_limits stop_;
   call_dispatcher dispatcher_;
 };
 
@@ -283,8 +318,14 @@
 
 void entry_proxy::SetReady(bool ready) { impl_->SetReady(ready); }
 
+void entry_proxy::LimitDeadlines(time_point last_deadline) { impl_->LimitDeadlines(last_deadline); }
+
 void entry_proxy::Drain() { impl_->Drain(); }
 
+void entry_proxy::EndAttempts() { impl_->EndAttempts(); }
+
+void entry_proxy::EndWaits() { impl_->EndWaits(); }
+
 std::size_t entry_proxy::ActiveRequests() const { return impl_->ActiveRequests(); }
 
 }  // namespace catkinmoor
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -201,7 +201,7 @@
                             "requests with this fingerprint crashed targets");
     }
     if (announcement.state != target_state::kReady) {
-      return NotRunResponse(503, "draining", "the target accepts no new requests");
+      return NotRunResponse(503, kReasonDraining, "the target accepts no new requests");
     }
     return std::nullopt;
   }
