Record departures of targets in the platform's table before they are acknowledged

A backend deregistered and was acknowledged; all daemons were killed and started again; a heartbeat from before arrived 5 s late, and requests reached the backend that had left.

Cause: a departure was kept in memory only, at its daemon and at one neighbour. Evidence: after the restart no daemon logs `target had departed before the daemon restarted`, and the late heartbeat is followed by `target state changed` to ready. Ruled out: a departure that was known and did not hold the report back.

A daemon that starts reads the row; until then, or until it has joined while the table does not respond, heartbeats are acknowledged and register no target. If the table has not answered after 300 ms, a neighbour's confirmation counts as before.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -124,7 +124,8 @@
                  asio::post(control_context_, [=, this] { target_.MarkLeaving(instance); });
                }},
               settings_.proxy),
-        target_(control_context_, self_, exchange_, gate_, settings_.target_lease),
+        departures_(control_context_, *platform_, settings_.vm),
+        target_(control_context_, self_, exchange_, gate_, departures_, settings_.target_lease),
         teams_(settings_.token_key, settings_.teams),
         administration_({deps_, repository_, exchange_, status_, teams_, [this] { return Ready(); },
                          [this] { BeginStop(); }, [this] { RefreshMetrics(); }}),
@@ -155,6 +156,8 @@
     if (settings_.reload_check_interval.count() > 0) {
       asio::co_spawn(control_context_, PollForReload(), asio::detached);
     }
+    asio::co_spawn(control_context_, target_.RestoreDepartures([this] { return join_.Ready(); }),
+                   asio::detached);
     asio::co_spawn(control_context_, Start(), asio::detached);
     control_context_.run();
     if (shutdown_thread_.joinable()) shutdown_thread_.join();
@@ -456,6 +459,7 @@
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
+  departure_log departures_;
   target_registration target_;
   team_registry teams_;
   administration_service administration_;
--- a/src/daemon/internal/stale_report_filter.cc
+++ b/src/daemon/internal/stale_report_filter.cc
@@ -4,12 +4,14 @@
 
 namespace catkinmoor {
 
+bool stale_report_filter::HasDeparted(const report_version& report) const {
+  return std::any_of(departed_starts_.begin(), departed_starts_.end(), [&](const auto& each) {
+    return each.first == report.instance && report.start_ms <= each.second;
+  });
+}
+
 bool stale_report_filter::IsStale(const report_version& report) const {
-  const bool departed =
-      std::any_of(departed_starts_.begin(), departed_starts_.end(), [&](const auto& each) {
-        return each.first == report.instance && report.start_ms <= each.second;
-      });
-  if (departed) return true;
+  if (HasDeparted(report)) return true;
   if (!latest_) return false;
   const bool both_set = report.start_ms != 0 && latest_->start_ms != 0;
   if (both_set && report.start_ms != latest_->start_ms) return report.start_ms < latest_->start_ms;
--- a/src/daemon/internal/target_registration.cc
+++ b/src/daemon/internal/target_registration.cc
@@ -3,9 +3,11 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <utility>
 
 #include "framework/json/field_table.h"
 #include "framework/logging/log.h"
@@ -18,8 +20,12 @@
 using json::field;
 
 constexpr double kMaxSlots = 100'000;
-// A target waits about a second for its acknowledgement; neighbours respond within milliseconds.
+// A target waits about a second for its acknowledgement. The table and neighbours usually respond
+// within milliseconds.
+constexpr milliseconds kDepartureRecordTimeout{300};
 constexpr milliseconds kDepartureReplicationTimeout{400};
+constexpr milliseconds kRestoreRetryDelay{200};
+constexpr milliseconds kMaxRestoreRetryDelay{5'000};
 
 /// The JSON object that a target sends to announce itself.
 struct announcement_body {
@@ -81,8 +87,14 @@
 
 target_registration::target_registration(asio::io_context& context, self_record& self,
                                          record_exchange& exchange, gate_proxy& gate,
-                                         milliseconds lease)
-    : self_(self), exchange_(exchange), gate_(gate), lease_(lease), timer_(context) {}
+                                         departure_log& departures, milliseconds lease)
+    : self_(self),
+      exchange_(exchange),
+      gate_(gate),
+      departures_(departures),
+      lease_(lease),
+      timer_(context),
+      restore_timer_(context) {}
 
 asio::awaitable<http::response> target_registration::Handle(http::request message) {
   const bool is_announcement = message.method == "POST" && message.Path() == "/v1/target";
@@ -95,7 +107,7 @@
   report_version version{target.instance, 0, 0};
   const bool is_leaving = target.state == target_state::kLeaving;
   const report_outcome outcome = ApplyReport({address, std::move(target), std::move(version)});
-  if (is_leaving) co_await AwaitDepartureReplication();
+  if (is_leaving) co_await AwaitDepartureRecorded();
   if (outcome == report_outcome::kWithdrawn) {
     co_return Json(503, {{"error", "the daemon is stopping"}, {"active", gate_.ActiveRequests()}});
   }
@@ -110,13 +122,19 @@
                    {"sequence", static_cast<std::int64_t>(report.version.sequence)}});
     return report_outcome::kStale;
   }
-  target_announcement target = report.target;
-  target.start_ms = report.version.start_ms;
-  SetTarget(report.address, std::move(target));
   if (report.target.state == target_state::kLeaving && report.version.start_ms != 0) {
-    PublishDeparture(report.version.instance, report.version.start_ms);
+    const departed_target departure{report.version.instance, report.version.start_ms};
+    departures_.Add(departure);
+    PublishDeparture(departure);
   }
   RenewLease();
+  if (!accepts_reports_) {
+    held_report_ = report;
+    return report_outcome::kAccepted;
+  }
+  target_announcement target = report.target;
+  target.start_ms = report.version.start_ms;
+  SetTarget(report.address, std::move(target));
   return report_outcome::kAccepted;
 }
 
@@ -134,48 +152,84 @@
   leaving.state = target_state::kLeaving;
   SetTarget(address_, std::move(leaving));
   EndStart(instance, 0);
-  asio::co_spawn(timer_.get_executor(), AwaitDepartureReplication(), asio::detached);
+  asio::co_spawn(timer_.get_executor(), AwaitDepartureRecorded(), asio::detached);
 }
 
 void target_registration::EndStart(const std::string& instance, std::uint64_t start_ms) {
   if (start_ms == 0) start_ms = report_filter_.StartTimeOf(instance);
   if (start_ms == 0) start_ms = UnixMilliseconds();
   report_filter_.MarkDeparted(instance, start_ms);
-  PublishDeparture(instance, start_ms);
+  departures_.Add({instance, start_ms});
+  PublishDeparture({instance, start_ms});
 }
 
-void target_registration::PublishDeparture(const std::string& instance, std::uint64_t start_ms) {
-  const departed_target departed{instance, start_ms};
-  if (self_.Get().departed == departed) return;
-  self_.Update([&](member_record& record) { record.departed = departed; });
+void target_registration::PublishDeparture(const departed_target& departure) {
+  if (self_.Get().departed == departure) return;
+  self_.Update([&](member_record& record) { record.departed = departure; });
   exchange_.AnnounceSelf();
 }
 
-asio::awaitable<void> target_registration::AwaitDepartureReplication() {
+asio::awaitable<void> target_registration::AwaitDepartureRecorded() {
+  const bool recorded = co_await departures_.AwaitRecorded(kDepartureRecordTimeout);
+  if (recorded) co_return;
   const bool replicated = co_await exchange_.ReplicateSelf(kDepartureReplicationTimeout);
-  if (!replicated) {
-    logging::Warning(
-        "target departure not confirmed by a neighbour; after a restart this daemon may accept "
-        "late reports of the target",
-        {{"step", "settle departure"}});
+  if (replicated) co_return;
+  logging::Warning(
+      "target departure confirmed neither by the platform's table nor by a neighbour; after a "
+      "restart this daemon may accept late reports of the target",
+      {{"step", "record departure"}});
+}
+
+asio::awaitable<void> target_registration::RestoreDepartures(std::function<bool()> is_joined) {
+  milliseconds delay = kRestoreRetryDelay;
+  while (!withdrawn_) {
+    auto recorded = co_await departures_.Read();
+    if (Ok(recorded)) {
+      for (const departed_target& each : Value(recorded)) RejectReportsOf(each);
+      // Neighbours hold the latest departure in case the table does not respond at a later restart.
+      if (!Value(recorded).empty() && !self_.Get().departed) {
+        PublishDeparture(Value(recorded).back());
+      }
+      AcceptReports();
+      co_return;
+    }
+    if (is_joined()) AcceptReports();
+    // No report is held back any longer, so that the table need not be read soon.
+    if (accepts_reports_) delay = std::min(delay * 2, kMaxRestoreRetryDelay);
+    restore_timer_.expires_after(delay);
+    co_await restore_timer_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
   }
 }
 
-void target_registration::RestoreDeparture(const member_record& past) {
-  if (!past.departed) return;
-  const auto& [instance, start_ms] = *past.departed;
+void target_registration::AcceptReports() {
+  if (accepts_reports_) return;
+  accepts_reports_ = true;
+  const auto held = std::exchange(held_report_, std::nullopt);
+  if (!held || withdrawn_ || report_filter_.HasDeparted(held->version)) return;
+  target_announcement target = held->target;
+  target.start_ms = held->version.start_ms;
+  SetTarget(held->address, std::move(target));
+}
+
+void target_registration::RejectReportsOf(const departed_target& departure) {
+  const auto& [instance, start_ms] = departure;
   report_filter_.MarkDeparted(instance, start_ms);
-  const member_record self = self_.Get();
-  if (self.departed || past.version.incarnation >= self.version.incarnation) return;
   logging::Info("target had departed before the daemon restarted; its late reports are ignored",
                 {{"instance", instance}});
-  PublishDeparture(instance, start_ms);
   const bool outdated_target = target_ && target_->state == target_state::kReady &&
                                target_->instance == instance &&
                                report_filter_.StartTimeOf(instance) <= start_ms;
   if (outdated_target) RemoveTarget("departed");
 }
 
+void target_registration::RestoreDeparture(const member_record& past) {
+  if (!past.departed) return;
+  RejectReportsOf(*past.departed);
+  const member_record self = self_.Get();
+  const bool is_of_predecessor = past.version.incarnation < self.version.incarnation;
+  if (!self.departed && is_of_predecessor) PublishDeparture(*past.departed);
+}
+
 void target_registration::MarkUnreachable(const std::string& instance) {
   if (!target_ || target_->instance != instance || withdrawn_) return;
   RemoveTarget("unreachable");
@@ -206,6 +260,7 @@
 }
 
 void target_registration::RemoveTarget(const char* reason) {
+  held_report_.reset();
   if (!target_) return;
   logging::Warning("target removed; it gets no new requests",
                    {{"step", reason}, {"instance", target_->instance}});
@@ -224,6 +279,10 @@
   exchange_.AnnounceSelf();
 }
 
-void target_registration::Stop() { timer_.cancel(); }
+void target_registration::Stop() {
+  timer_.cancel();
+  restore_timer_.cancel();
+  departures_.Stop();
+}
 
 }  // namespace catkinmoor
--- a/src/daemon/stale_report_filter.h
+++ b/src/daemon/stale_report_filter.h
@@ -33,6 +33,9 @@
   /// earlier starts with the same instance name.
   void MarkDeparted(const std::string& instance, std::uint64_t start_ms);
 
+  /// Whether a report is of a start that has departed.
+  bool HasDeparted(const report_version& report) const;
+
   /// Start time of an instance if the latest report is of it, otherwise 0.
   std::uint64_t StartTimeOf(const std::string& instance) const;
 
--- a/src/daemon/target_registration.h
+++ b/src/daemon/target_registration.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "daemon/departure_log.h"
 #include "daemon/stale_report_filter.h"
 #include "distribution/record_exchange.h"
 #include "framework/http/message.h"
@@ -36,7 +37,8 @@
 class target_registration {
  public:
   target_registration(boost::asio::io_context& context, self_record& self,
-                      record_exchange& exchange, gate_proxy& gate, milliseconds lease);
+                      record_exchange& exchange, gate_proxy& gate, departure_log& departures,
+                      milliseconds lease);
 
   /// Handles a request of the target's registration interface.
   boost::asio::awaitable<http::response> Handle(http::request message);
@@ -48,9 +50,15 @@
   /// Without a start time, all starts of the instance up to now count as departed.
   void MarkDeparted(const std::string& instance, std::uint64_t start_ms);
 
-  /// Waits, for a bounded time, until a neighbour holds the departure that was just recorded. Must
-  /// be awaited before the departure is acknowledged to the target.
-  boost::asio::awaitable<void> AwaitDepartureReplication();
+  /// Waits, for a bounded time, until the departures of the target are in the platform's table, or
+  /// a neighbour holds them if the table does not respond. Must be awaited before a departure is
+  /// acknowledged to the target.
+  boost::asio::awaitable<void> AwaitDepartureRecorded();
+
+  /// Reads the departures from before the daemon started. Until they are known, reports of the
+  /// target are acknowledged and it gets no requests. `is_joined` tells whether the daemon knows
+  /// what its neighbours hold, which is used if the table does not respond.
+  boost::asio::awaitable<void> RestoreDepartures(std::function<bool()> is_joined);
 
   /// Restores a departure from the record that other daemons hold of this vm from before the daemon
   /// restarted.
@@ -72,7 +80,13 @@
   void EndStart(const std::string& instance, std::uint64_t start_ms);
 
   /// Publishes a departure in this daemon's own member record, which other daemons hold.
-  void PublishDeparture(const std::string& instance, std::uint64_t start_ms);
+  void PublishDeparture(const departed_target& departure);
+
+  /// Rejects the reports of a departed start, and removes the target if it is of that start.
+  void RejectReportsOf(const departed_target& departure);
+
+  /// Lets reports register the target, beginning with the one that was held back.
+  void AcceptReports();
 
   void RenewLease();
   void SetTarget(const endpoint& address, target_announcement target);
@@ -81,11 +95,16 @@
   self_record& self_;
   record_exchange& exchange_;
   gate_proxy& gate_;
+  departure_log& departures_;
   milliseconds lease_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer restore_timer_;
   std::optional<target_announcement> target_;
   endpoint address_;
   stale_report_filter report_filter_;
+  /// The latest report that arrived before the departures from before the start were known.
+  std::optional<target_report> held_report_;
+  bool accepts_reports_ = false;
   bool withdrawn_ = false;
 };
 
