End the wait of a version for a witness at its time

Ruled out as the larger part: the relay (the version came by the daemon's own read of the source, 0.94 s after the acknowledgement).

Change: document_board tells when the first version is due, and the daemon waits for that.

Why it works: a version that is held after a look is not due before the next one, as both are the limit apart.

Test: document_board_test with_versions_that_lack_a_witness_tells_when_the_first_of_them_is_due (the function is new, before there was nothing to ask); offered_versions_in_quick_succession_* guards the other part.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -293,10 +293,14 @@
   }
 
   asio::awaitable<void> ReleaseWitnessWaits() {
+    const milliseconds max_wait = settings_.distribution.max_witness_wait;
     while (!stopping_) {
-      witness_timer_.expires_after(settings_.distribution.max_witness_wait);
+      // A version that is held from now on is not due before the next round.
+      const time_point next_round = Now() + max_wait;
+      const auto due = documents_.NextUnwitnessedFor(max_wait);
+      witness_timer_.expires_at(due ? std::min(*due, next_round) : next_round);
       co_await witness_timer_.async_wait(kAwait);
-      documents_.PutInForceUnwitnessedFor(settings_.distribution.max_witness_wait, Now());
+      documents_.PutInForceUnwitnessedFor(max_wait, Now());
       budget_.SetDaemonCount(CountPresentMembers());
     }
   }
--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -56,6 +56,10 @@
   /// each other quickly cannot delay each other.
   void PutInForceUnwitnessedFor(milliseconds age, time_point now);
 
+  /// When PutInForceUnwitnessedFor has to be called next, so that no version waits longer than
+  /// `age`; nothing if none waits.
+  std::optional<time_point> NextUnwitnessedFor(milliseconds age) const;
+
   /// Held versions that are not in force because no witness is known.
   std::vector<parsed_document_ptr> Unwitnessed() const;
 
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -119,6 +119,19 @@
   }
 }
 
+std::optional<time_point> document_board::NextUnwitnessedFor(milliseconds age) const {
+  std::optional<time_point> next;
+  for (const shard& each : shards_) {
+    const std::shared_lock<std::shared_mutex> lock(each.mutex);
+    for (const auto& [service, state] : each.entries) {
+      if (state.held == nullptr || state.held == state.in_force) continue;
+      const time_point due = state.unwitnessed_since + age;
+      next = next ? std::min(*next, due) : due;
+    }
+  }
+  return next;
+}
+
 std::vector<parsed_document_ptr> document_board::Unwitnessed() const {
   std::vector<parsed_document_ptr> unwitnessed;
   for (const shard& each : shards_) {
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -164,3 +164,25 @@
   board.PutInForceUnwitnessedFor(milliseconds(60'000), Now());
   cr_assert(InForce(board) == 3, "the wait begins anew with the next version");
 }
+
+// The wait for a witness was only looked at every so often, so that a version could wait for up to
+// twice the limit.
+Test(document_board, with_versions_that_lack_a_witness_tells_when_the_first_of_them_is_due) {
+  constexpr milliseconds kWitnessWait{250};
+  document_board board;
+  cr_assert(!board.NextUnwitnessedFor(kWitnessWait));
+  board.Offer(ValidVersion(1), true);
+  cr_assert(!board.NextUnwitnessedFor(kWitnessWait));
+  const auto before = Now();
+  board.Offer(ValidVersion(2), false);
+  const auto after = Now();
+  const auto due = board.NextUnwitnessedFor(kWitnessWait);
+  cr_assert(due && *due >= before + kWitnessWait && *due <= after + kWitnessWait);
+  board.Offer(ValidVersion(3), false);
+  cr_assert(board.NextUnwitnessedFor(kWitnessWait) == due, "a later version waits no longer");
+  board.PutInForceUnwitnessedFor(kWitnessWait, *due - milliseconds(1));
+  cr_assert(InForce(board) == 1);
+  board.PutInForceUnwitnessedFor(kWitnessWait, *due);
+  cr_assert(InForce(board) == 3);
+  cr_assert(!board.NextUnwitnessedFor(kWitnessWait));
+}
