Close the other idle connections to a peer once one has gone silent

Cause: the HTTP client drops a connection on which a response is late, and tried the other idle ones to that peer in turn, a timeout each, so that a daemon could be without the store for about 5 s. Evidence: the peer of the test counts its connections; the second request used the second silent one.

Change: a late response on a kept connection closes the peer's other idle ones.

Why it works: the next request opens a new connection, and new ones work.

Test: http_client_test with_all_connections_gone_silent_opens_a_new_one_after_one_timeout; before, the second request had no answer after 20 s.

--- a/src/framework/http/client.h
+++ b/src/framework/http/client.h
@@ -24,7 +24,8 @@
   /// Sends one request and waits for the complete response. Fails with kUnavailable if the peer
   /// cannot be reached or an idempotent request (GET, HEAD or PUT) gets no response, kTimeout if
   /// the timeout expires, kUndecided if another request was sent but its response was lost or late.
-  /// An idempotent request is sent again if a reused connection turns out to be closed.
+  /// An idempotent request is sent again if a reused connection turns out to be closed. If one does
+  /// not respond in time, the next request uses a new connection.
   boost::asio::awaitable<result<response>> Send(endpoint peer, request message,
                                                 milliseconds timeout);
 
--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -114,6 +114,10 @@
     });
   }
 
+  void CloseIdle(const std::string& peer) {
+    idle.WithShard(peer, [&](auto& entries) { return entries.erase(peer); });
+  }
+
   void PutIdle(const std::string& peer, stream_ptr stream) {
     stream->expires_never();
     idle.WithShard(peer, [&](auto& entries) {
@@ -165,6 +169,8 @@
       if (outcome.keep_alive) shared->PutIdle(peer_name, std::move(stream));
       co_return std::move(outcome.response_message);
     }
+    // The other idle connections may have gone silent together with this one.
+    if (reused && outcome.timed_out) shared->CloseIdle(peer_name);
     if (reused && idempotent && !outcome.timed_out) continue;
     error_kind kind = error_kind::kUnavailable;
     if (outcome.timed_out) kind = error_kind::kTimeout;
--- /dev/null
+++ b/src/framework/http/tests/client_test.cc
@@ -0,0 +1,125 @@
+#include "framework/http/client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using catkinmoor::endpoint;
+using catkinmoor::error_kind;
+using catkinmoor::milliseconds;
+using catkinmoor::Ok;
+using catkinmoor::result;
+using catkinmoor::http::client;
+using catkinmoor::http::request;
+using catkinmoor::http::response;
+
+constexpr milliseconds kShortTimeout{200};
+constexpr milliseconds kLongTimeout{20'000};
+
+/// A peer whose open connections can go silent for good, while new ones work. It holds responses
+/// back until as many requests as expected have arrived, so that each uses a connection of its own.
+class peer_stub {
+ public:
+  explicit peer_stub(asio::io_context& context)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}), all_arrived_(context) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+
+  endpoint Address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  int Connections() const { return connections_; }
+  void ExpectTogether(int count) { missing_ = count; }
+  void Silence() { silent_up_to_ = connections_; }
+
+ private:
+  asio::awaitable<void> Accept() {
+    for (;;) {
+      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket), ++connections_),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket, int number) {
+    asio::streambuf received;
+    for (;;) {
+      const std::size_t size =
+          co_await asio::async_read_until(socket, received, "\r\n\r\n", asio::use_awaitable);
+      received.consume(size);
+      if (number <= silent_up_to_) continue;
+      if (--missing_ <= 0) all_arrived_.cancel();
+      while (missing_ > 0) {
+        all_arrived_.expires_after(kLongTimeout);
+        boost::system::error_code ignored;
+        co_await all_arrived_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  asio::steady_timer all_arrived_;
+  int connections_ = 0;
+  int silent_up_to_ = 0;
+  int missing_ = 0;
+};
+
+/// A client and its peer on one thread.
+struct client_fixture {
+  asio::io_context context{1};
+  peer_stub peer{context};
+  client subject;
+
+  /// Sends requests at the same time and waits for all results.
+  std::vector<result<response>> Send(int count, milliseconds timeout, const char* method = "GET") {
+    peer.ExpectTogether(count);
+    std::vector<result<response>> outcomes;
+    for (int i = 0; i < count; ++i) {
+      asio::co_spawn(context, subject.Send(peer.Address(), request{method, "/", {}, ""}, timeout),
+                     [&](const std::exception_ptr&, result<response> outcome) {
+                       outcomes.push_back(std::move(outcome));
+                     });
+    }
+    while (outcomes.size() < static_cast<std::size_t>(count)) context.run_one();
+    return outcomes;
+  }
+};
+
+}  // namespace
+
+// Guards against connections to the store that go silent for good: each idle one was tried in turn,
+// and each cost a timeout.
+Test(client, with_all_connections_gone_silent_opens_a_new_one_after_one_timeout) {
+  for (const char* method : {"GET", "POST"}) {
+    client_fixture fixture;
+    for (const auto& each : fixture.Send(3, kLongTimeout)) cr_assert(Ok(each));
+    cr_assert(fixture.peer.Connections() == 3);
+    fixture.peer.Silence();
+    const auto unanswered = fixture.Send(1, kShortTimeout, method).front();
+    cr_assert(!Ok(unanswered));
+    cr_assert(Failure(unanswered).kind ==
+              (std::string(method) == "GET" ? error_kind::kTimeout : error_kind::kUndecided));
+    cr_assert(Ok(fixture.Send(1, kLongTimeout, method).front()));
+    cr_assert(fixture.peer.Connections() == 4);
+  }
+}
+
+Test(client, with_connections_that_work_reuses_them) {
+  client_fixture fixture;
+  for (int i = 0; i < 5; ++i) cr_assert(Ok(fixture.Send(1, kLongTimeout).front()));
+  cr_assert(fixture.peer.Connections() == 1);
+}
