Add workspaces, their keys and priority to the mesh document

The entry looks the key up, answers 401 to unknown ones, removes the key and sets the workspace's name for the target. The priority of a workspace goes before the route's, at the entry and at the gate. A version that is held but not in force may take a key away and gives none. Without workspaces in the configuration nothing changes.

--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -45,8 +45,9 @@
     return Refuse(offered, "the text names service " + content.service);
   }
   host_index by_host = BuildHostIndex(content);
+  key_index by_key = BuildKeyIndex(content);
   auto active = std::make_shared<const parsed_document>(
-      parsed_document{offered, std::move(content), std::move(by_host)});
+      parsed_document{offered, std::move(content), std::move(by_host), std::move(by_key)});
   {
     const std::unique_lock<std::shared_mutex> lock(service_shard.mutex);
     document_state& state = service_shard.entries[offered.service];
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -68,6 +68,8 @@
   std::int64_t queue = 100;
   caller_scope callers = caller_scope::kAny;
   locality target_locality = locality::kNearest;
+  /// Whether requests need no key although the document has workspaces.
+  bool is_public = false;
   std::vector<route_split> splits;
 
   friend bool operator==(const route&, const route&) = default;
@@ -95,6 +97,21 @@
   friend bool operator==(const retry_budget_settings&, const retry_budget_settings&) = default;
 };
 
+/// A group of callers that share keys, a priority and a quota.
+struct workspace {
+  std::string name;
+  /// Digests of the callers' keys (DigestKey), so that no document holds a key.
+  std::vector<std::string> key_digests;
+  /// Order of admission under load before that of the route, 0 first; -1 keeps that of the route.
+  std::int64_t priority = -1;
+  /// Requests per second that all daemons together admit; 0 for no limit.
+  double requests_per_second = 0;
+  /// Requests beyond that rate that may be admitted at once.
+  double burst = 0;
+
+  friend bool operator==(const workspace&, const workspace&) = default;
+};
+
 /// Routing configuration of one service, written by the team that owns it. Immutable once parsed.
 struct document {
   std::int64_t schema = 1;
@@ -103,6 +120,8 @@
   target_selection targets;
   retry_budget_settings retry_budget;
   std::vector<route> routes;
+  /// If not empty, requests on routes that are not public need the key of a workspace.
+  std::vector<workspace> workspaces;
 
   friend bool operator==(const document&, const document&) = default;
 };
@@ -111,6 +130,9 @@
 /// name no host, and so match every host, are under the empty string.
 using host_index = std::unordered_map<std::string, std::vector<std::size_t>>;
 
+/// Positions of workspaces in their document, by the digests of their keys.
+using key_index = std::unordered_map<std::string, std::size_t>;
+
 /// The newest document schema that this release supports.
 inline constexpr std::int64_t kMaxDocumentSchema = 1;
 
@@ -154,11 +176,13 @@
   friend bool operator==(const document_summary&, const document_summary&) = default;
 };
 
-/// A parsed document with the version that it was parsed from and the index of its routes.
+/// A parsed document with the version that it was parsed from and the indexes of its routes and
+/// keys.
 struct parsed_document {
   document_version source;
   document content;
   host_index routes_by_host;
+  key_index workspaces_by_key = {};
 
   friend bool operator==(const parsed_document&, const parsed_document&) = default;
 };
@@ -166,6 +190,9 @@
 /// Builds the host index of a document.
 host_index BuildHostIndex(const document& content);
 
+/// Builds the key index of a document.
+key_index BuildKeyIndex(const document& content);
+
 using parsed_document_ptr = std::shared_ptr<const parsed_document>;
 
 }  // namespace catkinmoor
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -28,6 +28,7 @@
 constexpr double kMaxRequestsPerTarget = 100'000;
 constexpr double kLowestPriority = 1'000;
 constexpr double kMaxFleetBurst = 1'000'000;
+constexpr double kMaxRequestRate = 1e9;
 
 /// An enumeration value and its name in documents.
 template <typename Enum>
@@ -117,7 +118,7 @@
   return json::WriteArrayOfNonDefaults<route_split>(from.splits, kSplitFields);
 }
 
-const std::array<field<route>, 13> kRouteFields = {{
+const std::array<field<route>, 14> kRouteFields = {{
     {"name", &route::name, "Name of the route in logs and metrics.", true, 1},
     {"match", custom_member<route>{ReadMatch, WriteMatch}, "Which requests it matches.", true},
     {"class", custom_member<route>{ReadClass, WriteClass}, "Traffic class.", true},
@@ -137,9 +138,23 @@
     {"callers", custom_member<route>{ReadCallers, WriteCallers}, "Callers that may use it."},
     {"locality", custom_member<route>{ReadLocality, WriteLocality},
      "Where targets are looked for, relative to the caller."},
+    {"public", &route::is_public, "Whether requests need no key of a workspace."},
     {"splits", custom_member<route>{ReadSplits, WriteSplits}, "Weighted shares by target labels."},
 }};
 
+const std::array<field<workspace>, 5> kWorkspaceFields = {{
+    {"name", &workspace::name, "Name of the workspace, passed on to targets.", true, 1},
+    {"key_digests", &workspace::key_digests, "Digests of the keys of its callers."},
+    {"priority", &workspace::priority,
+     "Order of admission under load, 0 first, before that of the route; -1 keeps the route's.",
+     false, -1, kLowestPriority},
+    {"requests_per_second", &workspace::requests_per_second,
+     "Requests per second that all daemons together admit; 0 for no limit.", false, 0,
+     kMaxRequestRate},
+    {"burst", &workspace::burst, "Requests beyond that rate that may be admitted at once.", false,
+     0, kMaxRequestRate},
+}};
+
 const std::array<field<target_selection>, 3> kTargetFields = {{
     {"regions", &target_selection::regions,
      "Regions whose targets receive traffic; all when empty."},
@@ -180,7 +195,15 @@
   return json::WriteArrayOfNonDefaults<route>(from.routes, kRouteFields);
 }
 
-const std::array<field<document>, 6> kDocumentFields = {{
+void ReadWorkspaces(const bj::value& from, const std::string& pointer, document& to,
+                    problems& found) {
+  json::ReadArray<workspace>(from, pointer, kWorkspaceFields, to.workspaces, found);
+}
+bj::value WriteWorkspaces(const document& from) {
+  return json::WriteArrayOfNonDefaults<workspace>(from.workspaces, kWorkspaceFields);
+}
+
+const std::array<field<document>, 7> kDocumentFields = {{
     {"schema", &document::schema, "Version of the document's format.", true, 1, kMaxDocumentSchema},
     {"service", &document::service, "Name of the service.", true, 1},
     {"owner", &document::owner, "Team that may change the document.", true, 1},
@@ -189,6 +212,8 @@
     {"retry_budget", custom_member<document>{ReadBudget, WriteBudget}, "Limits for retries."},
     {"routes", custom_member<document>{ReadRoutes, WriteRoutes}, "Routes; the first match wins.",
      true},
+    {"workspaces", custom_member<document>{ReadWorkspaces, WriteWorkspaces},
+     "Groups of callers; if there are any, requests need a key."},
 }};
 
 bool IsSubset(const std::vector<std::string>& inner, const std::vector<std::string>& outer) {
@@ -349,6 +374,21 @@
   }
 }
 
+void CheckWorkspaces(const std::vector<workspace>& workspaces, problems& found) {
+  std::unordered_set<std::string> names;
+  std::unordered_set<std::string> digests;
+  for (std::size_t i = 0; i < workspaces.size(); ++i) {
+    const std::string pointer = ChildPointer("/workspaces", std::to_string(i));
+    if (!names.insert(workspaces[i].name).second) {
+      AddProblem(found, pointer + "/name", "must be unique; already used: " + workspaces[i].name);
+    }
+    for (const std::string& each : workspaces[i].key_digests) {
+      if (digests.insert(each).second) continue;
+      AddProblem(found, pointer + "/key_digests", "has a key that another entry has as well");
+    }
+  }
+}
+
 }  // namespace
 
 bool IsServiceName(std::string_view name) {
@@ -369,6 +409,14 @@
   return index;
 }
 
+key_index BuildKeyIndex(const document& content) {
+  key_index index;
+  for (std::size_t i = 0; i < content.workspaces.size(); ++i) {
+    for (const std::string& each : content.workspaces[i].key_digests) index.emplace(each, i);
+  }
+  return index;
+}
+
 std::string SerializeDocument(const document& content) {
   return bj::serialize(json::WriteNonDefaults<document>(content, kDocumentFields)) + "\n";
 }
@@ -388,6 +436,7 @@
                "must be 1 to 63 lower-case letters, digits and dashes, with no dash at either end");
   }
   if (found.empty()) CheckRoutes(content.routes, found);
+  if (found.empty()) CheckWorkspaces(content.workspaces, found);
   if (!found.empty()) return found;
   return content;
 }
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -55,7 +55,7 @@
           call.matched_route->queue,
           call.fingerprint,
           settings_.own_service,
-          call.matched_route->priority,
+          call.priority,
           call.request_id,
           RemainingObjective(call),
           deps_.loads.Limit(target.vm, target.target->instance)};
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -24,6 +24,10 @@
   time_point started;
   time_point deadline;
   std::int64_t depth = 0;
+  /// Workspace of the caller's key, in the document above; null without one.
+  const workspace* caller_workspace = nullptr;
+  /// Order of admission under load, as route::priority.
+  std::int64_t priority = -1;
   std::string body;
   std::string fingerprint;
   route_split split;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -10,6 +10,7 @@
 #include "framework/base/digest.h"
 #include "proxy/internal/call_dispatcher.h"
 #include "routing/route_matcher.h"
+#include "workspace/caller_key.h"
 
 namespace catkinmoor {
 
@@ -224,6 +225,8 @@
     const auto match = FindRoute(*call.document, view);
     if (const auto* reason = std::get_if<route_mismatch>(&match)) return NoRouteResponse(*reason);
     call.matched_route = std::get<const route*>(match);
+    call.priority = call.matched_route->priority;
+    if (auto refused = ApplyCallerKey(message, call)) return refused;
     call.split = PickSplit(call.document->content, *call.matched_route, random);
     call.service = call.split.service;
     if (call.depth >= settings_.max_call_depth) {
@@ -242,6 +245,32 @@
     return std::nullopt;
   }
 
+  /// Finds the workspace of the caller's key and replaces the key by the workspace's name. Returns
+  /// the response if the key is missing or unknown.
+  std::optional<local_response> ApplyCallerKey(request_message& message, call_state& call) {
+    const http_conventions& conventions = settings_.conventions;
+    if (conventions.key_header.empty() || call.document->content.workspaces.empty()) {
+      return std::nullopt;
+    }
+    std::string key;
+    if (message.count(conventions.key_header) == 1) {
+      const auto value = message[conventions.key_header];
+      key = CredentialsOf({value.data(), value.size()}, conventions.key_scheme);
+    }
+    message.erase(conventions.key_header);
+    message.erase(conventions.workspace_header);
+    const parsed_document_ptr held = deps_.documents.Held(call.document->source.service);
+    const key_check checked = CheckKey(*call.document, held.get(), *call.matched_route, key);
+    if (checked.outcome == key_outcome::kRefused) {
+      return NotRunResponse(401, "unknown-key", "check key", "the key is missing or not known");
+    }
+    call.caller_workspace = checked.found;
+    if (checked.found == nullptr) return std::nullopt;
+    message.set(conventions.workspace_header, checked.found->name);
+    if (checked.found->priority >= 0) call.priority = checked.found->priority;
+    return std::nullopt;
+  }
+
   /// Buffers a body up to the size at which the request can still be sent again.
   asio::awaitable<body_outcome> BufferBody(connection& caller, request_parser& parser,
                                            call_state& call) {
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -226,6 +226,7 @@
     message.set(kLoadHeader, response.load);
     message.set(kRetryAfterHeader, std::to_string(response.retry_after.count()));
   }
+  if (response.status == 401) message.set(bhttp::field::www_authenticate, "Bearer");
   if (response.status == 503 || response.status == 429) {
     message.set(bhttp::field::retry_after,
                 FormatRetryAfter(response.retry_after, fractional_retry_after));
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -28,6 +28,12 @@
   std::string limit_header;
   /// On a response of a target that is leaving, with the value 1.
   std::string leaving_header;
+  /// Carries the key of a caller, after the name of a scheme. Read where the document has
+  /// workspaces, and never passed on then.
+  std::string key_header;
+  std::string key_scheme;
+  /// Workspace of the caller, sent to targets.
+  std::string workspace_header;
   /// Whether targets echo the request id in their responses, which reveals a response to another
   /// request.
   bool targets_echo_request_ids = false;
