Follow the era of a store that is restored from an older copy

Cause: a restored store gives its versions out again. The position in the source stayed above them, revisions read before could match rows written since, a configuration given out again under its number was refused for good, and departures that had been acknowledged to targets were lost with the store's last writes.

Change: the store's answers and the confirmations of readers state an era (store_era). Without the header nothing changes.

Change ids of the project's own repository are not covered.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "framework/http/client.h"
 #include "store/document_source.h"
 #include "store/platform_client.h"
+#include "store/store_era.h"
 
 namespace catkinmoor {
 
@@ -18,10 +19,10 @@
   using registration_handler =
       std::function<boost::asio::awaitable<http::response>(target_registration&, http::request)>;
 
-  /// Creates the client of the platform's table and object store.
-  std::function<std::unique_ptr<platform_client>(http::client&)> make_platform_client;
+  /// Creates the client of the platform's table and object store, which reports the store's era.
+  std::function<std::unique_ptr<platform_client>(http::client&, store_era&)> make_platform_client;
   /// Creates the source of accepted documents, which reads through the daemon's HTTP client.
-  std::function<std::unique_ptr<document_source>(http::client&)> make_document_source;
+  std::function<std::unique_ptr<document_source>(http::client&, store_era&)> make_document_source;
   /// Handles the requests by which the vm's own target registers.
   registration_handler handle_registration;
   /// Reads the settings again on a reload.
--- a/src/daemon/departure_log.h
+++ b/src/daemon/departure_log.h
@@ -31,6 +31,10 @@
   /// not respond; an entry that cannot be parsed is left out.
   boost::asio::awaitable<result<std::vector<departed_target>>> Read();
 
+  /// Begins to record the latest departures once more, after the table was restored from a copy
+  /// that may lack them. Returns their number.
+  std::size_t RecordAgain();
+
   /// Ends repeated writes.
   void Stop();
 
@@ -45,7 +49,7 @@
   platform_client& platform_;
   std::string key_;
   std::vector<departed_target> unrecorded_;
-  /// The latest departures that this process has recorded.
+  /// The latest departures that are known to be in the table.
   std::vector<departed_target> recorded_;
   bool recording_ = false;
   bool stopping_ = false;
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -38,6 +38,8 @@
 constexpr milliseconds kDrainPollInterval{20};
 constexpr milliseconds kCleanupInterval{10'000};
 constexpr milliseconds kIdleConnectionTimeout{20'000};
+/// Time over which the daemons spread their writes after the store was restored.
+constexpr milliseconds kMaxRewriteDelay{1'500};
 constexpr std::uint64_t kMaxAdministrationBodyBytes = kMaxDocumentBytes;
 
 member_record InitialRecord(const daemon_settings& settings) {
@@ -152,6 +154,9 @@
     });
     exchange_.SetStaleSelfListener(
         [this](const member_record& past) { target_.RestoreDeparture(past); });
+    era_.SetListener([this](std::uint64_t previous, std::uint64_t current) {
+      asio::post(control_context_, [=, this] { OnStoreRestored(previous, current); });
+    });
     AwaitReloadSignal();
     if (settings_.reload_check_interval.count() > 0) {
       asio::co_spawn(control_context_, PollForReload(), asio::detached);
@@ -205,13 +210,13 @@
   }
 
   std::unique_ptr<platform_client> MakePlatform() {
-    if (hooks_.make_platform_client) return hooks_.make_platform_client(http_client_);
+    if (hooks_.make_platform_client) return hooks_.make_platform_client(http_client_, era_);
     return MakeHttpPlatformClient(http_client_, Value(ParseEndpoint(settings_.platform)),
                                   settings_.platform_timeout);
   }
 
   std::unique_ptr<document_source> MakeSource() {
-    if (hooks_.make_document_source) return hooks_.make_document_source(http_client_);
+    if (hooks_.make_document_source) return hooks_.make_document_source(http_client_, era_);
     return std::make_unique<repository_source>(repository_);
   }
 
@@ -339,6 +344,22 @@
     exchange_.AnnounceCrash({fingerprint, "cleared-" + RandomId(), 1, true});
   }
 
+  /// Writes again what this daemon had written to the store, after a random delay so that the
+  /// daemons do not all do so at once. The rendezvous record is refreshed periodically anyway.
+  void OnStoreRestored(std::uint64_t previous, std::uint64_t current) {
+    std::uniform_int_distribution<std::int64_t> delay_ms(0, kMaxRewriteDelay.count());
+    rewrite_timer_.expires_after(milliseconds(delay_ms(random_device_)));
+    rewrite_timer_.async_wait([this, previous, current](const boost::system::error_code& failed) {
+      if (failed || stopping_) return;
+      const std::size_t departures = departures_.RecordAgain();
+      logging::Warning("store went back",
+                       {{"previous_era", static_cast<std::int64_t>(previous)},
+                        {"era", static_cast<std::int64_t>(current)},
+                        {"departures_rewritten", static_cast<std::int64_t>(departures)}});
+    });
+    metrics_.IncrementCounter("catkinmoor_store_restores_total");
+  }
+
   void BeginStop() {
     if (stopping_.exchange(true)) return;
     logging::Info("daemon stopping");
@@ -395,6 +416,7 @@
   }
 
   void StopServices() {
+    rewrite_timer_.cancel();
     reload_signal_.cancel();
     witness_timer_.cancel();
     reload_timer_.cancel();
@@ -448,7 +470,9 @@
   request_ledger ledger_;
   quarantine_board quarantine_;
   source_freshness freshness_{settings_.distribution.max_source_age};
-  distribution_dependencies deps_{documents_, members_, self_, freshness_, quarantine_, metrics_};
+  store_era era_;
+  distribution_dependencies deps_{documents_,  members_, self_, freshness_,
+                                  quarantine_, metrics_, &era_};
   std::unique_ptr<spread_strategy> strategy_;
   http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
@@ -476,6 +500,7 @@
   asio::steady_timer witness_timer_{control_context_};
   asio::steady_timer reload_timer_{control_context_};
   asio::steady_timer cleanup_timer_{control_context_};
+  asio::steady_timer rewrite_timer_{control_context_};
   std::thread shutdown_thread_;
   std::atomic<bool> stopping_ = false;
 };
--- a/src/daemon/internal/departure_log.cc
+++ b/src/daemon/internal/departure_log.cc
@@ -97,6 +97,10 @@
   if (!Ok(row)) co_return Failure(row);
   std::vector<departed_target> departures;
   if (Value(row)) departures = ParseDepartures(Value(row)->value);
+  for (const departed_target& each : departures) {
+    if (!Contains(recorded_, each)) recorded_.push_back(each);
+  }
+  KeepLatest(recorded_);
   co_return departures;
 }
 
@@ -149,6 +153,13 @@
   recording_ = false;
 }
 
+std::size_t departure_log::RecordAgain() {
+  const std::vector<departed_target> departures = std::move(recorded_);
+  recorded_.clear();
+  for (const departed_target& each : departures) Add(each);
+  return departures.size();
+}
+
 void departure_log::Stop() {
   stopping_ = true;
   retry_timer_.cancel();
--- a/src/daemon/tests/departure_log_test.cc
+++ b/src/daemon/tests/departure_log_test.cc
@@ -30,6 +30,12 @@
     return Run(log_.AwaitRecorded(limit));
   }
 
+  /// Records the known departures again, and waits until they are recorded.
+  bool RecordAgain() {
+    log_.RecordAgain();
+    return Run(log_.AwaitRecorded(kLimit));
+  }
+
   std::vector<departed_target> Read() {
     auto departures = Run(log_.Read());
     return Ok(departures) ? Value(departures) : std::vector<departed_target>{};
@@ -101,6 +107,19 @@
   cr_assert(process(platform).Read() == (std::vector<departed_target>{{"i-1", 100}, {"i-2", 200}}));
 }
 
+// The target has been acknowledged, so its departure must not be lost with the table's last writes.
+Test(departure_log, after_a_restore_of_the_table_records_known_departures_again) {
+  memory_platform platform;
+  cr_assert(process(platform).Record({"i-1", 100}));
+  process subject(platform);
+  cr_assert_eq(subject.Read().size(), 1U);
+  cr_assert(subject.Record({"i-2", 200}));
+  platform.RestoreEmpty();
+  cr_assert(process(platform).Read().empty());
+  cr_assert(subject.RecordAgain());
+  cr_assert(process(platform).Read() == (std::vector<departed_target>{{"i-1", 100}, {"i-2", 200}}));
+}
+
 // Each heartbeat of a target that leaves says so again.
 Test(departure_log, of_a_departure_added_again_calls_the_table_once) {
   memory_platform platform;
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -22,8 +22,11 @@
 std::optional<offer_outcome> document_board::OfferWithoutParsing(const document_version& offered,
                                                                  bool witnessed) {
   const parsed_document_ptr held = Held(offered.service);
-  if (held == nullptr || held->source.version < offered.version) return std::nullopt;
-  if (held->source.version > offered.version) return offer_outcome::kOlder;
+  if (held == nullptr) return std::nullopt;
+  const document_summary held_summary = SummaryOf(held->source);
+  const document_summary offered_summary = SummaryOf(offered);
+  if (Supersedes(offered_summary, held_summary)) return std::nullopt;
+  if (Supersedes(held_summary, offered_summary)) return offer_outcome::kOlder;
   if (held->source.digest != offered.digest) return std::nullopt;
   if (witnessed) MarkWitnessed(offered.service, offered.version);
   return offer_outcome::kAlreadyHeld;
@@ -51,12 +54,13 @@
   {
     const std::unique_lock<std::shared_mutex> lock(service_shard.mutex);
     document_state& state = service_shard.entries[offered.service];
-    const bool same_version =
-        state.held != nullptr && state.held->source.version == offered.version;
-    if (state.held != nullptr && offered.version < state.held->source.version) {
+    const document_summary offered_summary = SummaryOf(offered);
+    const bool is_newer =
+        state.held == nullptr || Supersedes(offered_summary, SummaryOf(state.held->source));
+    if (!is_newer && Supersedes(SummaryOf(state.held->source), offered_summary)) {
       return offer_outcome::kOlder;
     }
-    if (!same_version) {
+    if (is_newer) {
       if (state.held != nullptr) service_shard.hash ^= VersionHash(state.held->source);
       service_shard.hash ^= VersionHash(offered);
       service_shard.last_change = std::max(service_shard.last_change, offered.change);
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -119,7 +119,8 @@
   if (strategy_.SpreadsConfirmations() &&
       (has_documents || deps_.freshness.ShouldConfirm(read_at))) {
     message.confirmation =
-        source_confirmation{read_at, DocumentHash(), deps_.documents.LastChange()};
+        source_confirmation{read_at, DocumentHash(), deps_.documents.LastChange(),
+                            deps_.era == nullptr ? 0 : deps_.era->Current()};
     deps_.freshness.OnConfirmationSent(read_at);
   }
   Forward(std::move(message));
@@ -127,6 +128,7 @@
 
 void record_exchange::ApplyConfirmation(const source_confirmation& confirmation,
                                         const std::string& sender) {
+  if (deps_.era != nullptr) deps_.era->Observe(confirmation.store_era);
   const bool is_current = confirmation.document_hash == DocumentHash() ||
                           confirmation.last_change < deps_.documents.LastChange();
   if (is_current) {
@@ -304,7 +306,7 @@
     if (deps_.documents.BucketHash(i) == message.document_buckets[i]) continue;
     reply.document_buckets.push_back(i);
     for (const parsed_document_ptr& each : deps_.documents.HeldInBucket(i)) {
-      reply.documents.push_back({each->source.service, each->source.version, each->source.digest});
+      reply.documents.push_back(SummaryOf(each->source));
     }
   }
   std::vector<bool> differs(member_table::kBuckets, false);
@@ -324,11 +326,11 @@
 
 transfer_request record_exchange::ComputeDifference(const compare_reply& comparison) const {
   transfer_request difference;
-  std::map<std::string, std::uint64_t> peer_documents;
+  std::map<std::string, document_summary> peer_documents;
   for (const document_summary& each : comparison.documents) {
-    peer_documents[each.service] = each.version;
+    peer_documents[each.service] = each;
     const auto held = deps_.documents.Held(each.service);
-    if (held == nullptr || held->source.version < each.version) {
+    if (held == nullptr || Supersedes(each, SummaryOf(held->source))) {
       difference.wanted_documents.push_back(each.service);
     }
   }
@@ -336,7 +338,8 @@
     if (bucket >= document_board::kBuckets) continue;
     for (const parsed_document_ptr& each : deps_.documents.HeldInBucket(bucket)) {
       const auto found = peer_documents.find(each->source.service);
-      const bool is_newer = found == peer_documents.end() || found->second < each->source.version;
+      const bool is_newer =
+          found == peer_documents.end() || Supersedes(SummaryOf(each->source), found->second);
       if (is_newer) difference.documents.push_back(each->source);
     }
   }
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -126,8 +126,10 @@
   if (!Ok(update)) co_return Failure(update);
   const time_point read_at = Now();
   exchange_.SpreadSourceRead(OfferAll(std::move(Value(update).documents)), range, read_at);
-  position_ = std::max(position_.load(), Value(update).position);
-  co_return position_ > previous;
+  const bool restarted = Value(update).restarted;
+  position_ =
+      restarted ? Value(update).position : std::max(position_.load(), Value(update).position);
+  co_return restarted || position_ > previous;
 }
 
 std::vector<document_version> source_controller::OfferAll(std::vector<document_version> documents) {
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -16,6 +16,7 @@
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
 #include "peer/peer_transport.h"
+#include "store/store_era.h"
 
 namespace catkinmoor {
 
@@ -27,6 +28,8 @@
   source_freshness& freshness;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  /// Era of the store; null where the store states none.
+  store_era* era = nullptr;
 };
 
 /// Exchanges documents and member records between daemons. Updates are spread by the strategy;
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -186,3 +186,42 @@
   cr_assert(InForce(board) == 3);
   cr_assert(!board.NextUnwitnessedFor(kWitnessWait));
 }
+
+// A store that was restored from an older copy gives a version out again with another text.
+Test(document_board, with_another_text_of_a_later_era_under_the_same_version_takes_it) {
+  document_board board;
+  document_version first = ValidVersion(5);
+  first.era = 1;
+  document_version second = Version(5, DocumentText(900));
+  second.era = 2;
+  cr_assert(board.Offer(first, true) == offer_outcome::kNewer);
+  cr_assert(board.Offer(second, true) == offer_outcome::kNewer);
+  cr_assert_eq(board.InForce("slotboard")->source.digest, second.digest);
+  cr_assert(board.Offer(first, true) == offer_outcome::kOlder);
+  cr_assert_eq(board.InForce("slotboard")->source.digest, second.digest);
+}
+
+// Until the operator has written the newest version again, the restored store has an older one.
+Test(document_board, with_an_older_version_of_a_later_era_keeps_the_newer_one) {
+  document_board board;
+  document_version newest = ValidVersion(7);
+  newest.era = 1;
+  document_version older = ValidVersion(6);
+  older.era = 2;
+  cr_assert(board.Offer(newest, true) == offer_outcome::kNewer);
+  cr_assert(board.Offer(older, true) == offer_outcome::kOlder);
+  document_version again = newest;
+  again.era = 2;
+  cr_assert(board.Offer(again, true) == offer_outcome::kAlreadyHeld);
+  cr_assert_eq(InForce(board), 7U);
+}
+
+Test(document_board, with_another_text_of_the_same_era_under_the_same_version_refuses_it) {
+  document_board board;
+  document_version first = ValidVersion(5);
+  first.era = 2;
+  document_version second = Version(5, DocumentText(900));
+  second.era = 2;
+  cr_assert(board.Offer(first, true) == offer_outcome::kNewer);
+  cr_assert(board.Offer(second, true) == offer_outcome::kRefused);
+}
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -163,19 +163,31 @@
   std::uint64_t change = 0;
   std::string digest;
   std::string text;
+  /// Era of the store that the text was read from (store_era). A restored store may give a version
+  /// out again with another text.
+  std::uint64_t era = 0;
 
   friend bool operator==(const document_version&, const document_version&) = default;
 };
 
-/// Name, version and digest of a document.
+/// Name, version, digest and era of a document.
 struct document_summary {
   std::string service;
   std::uint64_t version = 0;
   std::string digest;
+  std::uint64_t era = 0;
 
   friend bool operator==(const document_summary&, const document_summary&) = default;
 };
 
+/// The summary of a version.
+document_summary SummaryOf(const document_version& version);
+
+/// Whether a document supersedes another one of the same service: by a higher version, or by
+/// another text that a later era of the store gave out under the same version. An older version in
+/// a later era does not: the restored store has not received the newer one again yet.
+bool Supersedes(const document_summary& candidate, const document_summary& held);
+
 /// A parsed document with the version that it was parsed from and the indexes of its routes and
 /// keys.
 struct parsed_document {
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -401,6 +401,15 @@
 
 std::string_view RouteClassName(route_class kind) { return EnumName(kRouteClassNames, kind); }
 
+document_summary SummaryOf(const document_version& version) {
+  return {version.service, version.version, version.digest, version.era};
+}
+
+bool Supersedes(const document_summary& candidate, const document_summary& held) {
+  if (candidate.version != held.version) return candidate.version > held.version;
+  return candidate.era > held.era && candidate.digest != held.digest;
+}
+
 host_index BuildHostIndex(const document& content) {
   host_index index;
   for (std::size_t i = 0; i < content.routes.size(); ++i) {
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -113,6 +113,7 @@
   to.set_change(from.change);
   to.set_digest(HexToBytes(from.digest));
   to.set_text(FrameFor(from));
+  to.set_era(from.era);
 }
 
 void ToWire(const target_announcement& from, wire::Target& to) {
@@ -179,10 +180,12 @@
   to.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
   to.set_document_hash(from.document_hash);
   to.set_last_change(from.last_change);
+  to.set_store_era(from.store_era);
 }
 
 source_confirmation FromWire(const wire::SourceConfirmation& from) {
-  return {Now() - milliseconds(from.age_ms()), from.document_hash(), from.last_change()};
+  return {Now() - milliseconds(from.age_ms()), from.document_hash(), from.last_change(),
+          from.store_era()};
 }
 
 template <typename WireList>
@@ -196,7 +199,7 @@
     auto text = Decompress(each.text());
     if (!text) continue;
     to.push_back({each.service(), each.version(), each.change(), BytesToHex(each.digest()),
-                  std::move(*text)});
+                  std::move(*text), each.era()});
   }
 }
 
@@ -305,6 +308,7 @@
     summary.set_service(each.service);
     summary.set_version(each.version);
     summary.set_digest(HexToBytes(each.digest));
+    summary.set_era(each.era);
   }
   for (const member_summary& each : from.members) {
     wire::MemberSummary& summary = *to.add_members();
@@ -317,7 +321,7 @@
   CopyFromWire(from.document_buckets(), to.document_buckets);
   CopyFromWire(from.member_buckets(), to.member_buckets);
   for (const wire::DocumentSummary& each : from.documents()) {
-    to.documents.push_back({each.service(), each.version(), BytesToHex(each.digest())});
+    to.documents.push_back({each.service(), each.version(), BytesToHex(each.digest()), each.era()});
   }
   for (const wire::MemberSummary& each : from.members()) {
     to.members.push_back({each.vm(), FromWire(each.version())});
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -34,6 +34,8 @@
   std::uint64_t document_hash = 0;
   /// The highest change number among the documents.
   std::uint64_t last_change = 0;
+  /// Era of the store that was read; 0 if it stated none.
+  std::uint64_t store_era = 0;
 
   friend bool operator==(const source_confirmation&, const source_confirmation&) = default;
 };
--- a/src/store/document_source.h
+++ b/src/store/document_source.h
@@ -11,10 +11,13 @@
 namespace catkinmoor {
 
 /// The documents that a source returned beyond a position, and the position that it has reached
-/// with them. Positions only increase.
+/// with them. Positions only increase, unless the source has restarted.
 struct source_update {
   std::uint64_t position = 0;
   std::vector<document_version> documents;
+  /// Whether the source was restored from an older copy since the last update. Its positions begin
+  /// anew, and the documents are all that it has.
+  bool restarted = false;
 
   friend bool operator==(const source_update&, const source_update&) = default;
 };
--- a/src/store/stub/memory_platform.cc
+++ b/src/store/stub/memory_platform.cc
@@ -34,6 +34,11 @@
   stale_rows_ = rows_;
 }
 
+void memory_platform::RestoreEmpty() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  rows_.clear();
+}
+
 void memory_platform::CorruptObject(const std::string& name, std::string bytes) {
   const std::lock_guard<std::mutex> lock(mutex_);
   objects_[name] = std::move(bytes);
--- a/src/store/stub/memory_platform.h
+++ b/src/store/stub/memory_platform.h
@@ -28,6 +28,9 @@
   /// Saves the current rows for later stale reads.
   void SnapshotForStaleReads();
 
+  /// Loses all rows, as if the table had been restored from a copy made before they were written.
+  void RestoreEmpty();
+
   /// Replaces an object's bytes under the same name, as if they had been corrupted.
   void CorruptObject(const std::string& name, std::string bytes);
 
