Test broken responses of targets

The scripted target can read a body after its response, hold a connection open and close it with a reset.

--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 #include "framework/base/clock.h"
@@ -35,10 +36,9 @@
   return ::poll(&wait, 1, timeout_ms) > 0;
 }
 
-/// Reads until the end of a request's head. Returns an empty text if the client closed the
-/// connection before.
-std::string ReadHead(int socket) {
-  std::string received;
+/// Reads until the end of a request's head, which may have been received in part before. Returns
+/// all that was received, or an empty text if the client closed the connection before.
+std::string ReadHead(int socket, std::string received) {
   char block[4096];
   while (received.find("\r\n\r\n") == std::string::npos) {
     const auto got = ::recv(socket, block, sizeof(block), 0);
@@ -48,6 +48,19 @@
   return received;
 }
 
+/// Reads the rest of a body whose beginning follows the head in `received`. Returns the bytes that
+/// follow the body, or nothing if the client closed the connection before.
+std::optional<std::string> ReadBody(int socket, const std::string& received, std::size_t bytes) {
+  std::string body = received.substr(received.find("\r\n\r\n") + 4);
+  std::vector<char> block(64U << 10U);
+  while (body.size() < bytes) {
+    const auto got = ::recv(socket, block.data(), block.size(), 0);
+    if (got <= 0) return std::nullopt;
+    body.append(block.data(), static_cast<std::size_t>(got));
+  }
+  return body.substr(bytes);
+}
+
 }  // namespace
 
 scripted_target::scripted_target(const std::string& address, script response_script)
@@ -83,9 +96,11 @@
 
 void scripted_target::ServeConnection(int connection) {
   bool open = true;
+  std::string rest;
   while (open && !stopping_) {
-    if (!WaitUntilReadable(connection, 20)) continue;
-    const std::string head = ReadHead(connection);
+    if (rest.empty() && !WaitUntilReadable(connection, 20)) continue;
+    const std::string head = ReadHead(connection, std::move(rest));
+    rest.clear();
     if (head.empty()) break;
     ++requests_;
     const response scripted = script_(head);
@@ -93,6 +108,18 @@
     ::send(connection, scripted.bytes.data(), scripted.bytes.size(), MSG_NOSIGNAL);
     if (!scripted.repeated.empty()) SendEndlessly(connection, scripted.repeated);
     open = scripted.keep_alive && scripted.repeated.empty();
+    if (scripted.body_bytes > 0) {
+      const auto following = ReadBody(connection, head, scripted.body_bytes);
+      if (!following) break;
+      rest = *following;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(scripted.hold_ms));
+    if (scripted.reset) {
+      const linger reset{1, 0};
+      ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+      ::close(connection);
+      return;
+    }
   }
   ::shutdown(connection, SHUT_WR);
   ::close(connection);
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -20,6 +20,12 @@
     int delay_ms = 0;
     /// Sent again and again after the bytes until the caller closes the connection.
     std::string repeated = {};
+    /// Bytes of the request's body that are read after the response has been sent.
+    std::size_t body_bytes = 0;
+    /// How long the connection is held open after the response without reading from it.
+    int hold_ms = 0;
+    /// Closes the connection with a reset. The bytes sent before may still be received.
+    bool reset = false;
   };
   /// Returns the response to a request, given the head of the request.
   using script = std::function<response(const std::string& head)>;
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -298,3 +298,89 @@
   const auto complete = subject.SendToEntry(address, "GET", "/bytes-after-the-answer");
   Require(complete.status == 200 && complete.body == "hello", complete.body);
 }
+
+namespace {
+
+std::string UploadRequest(std::size_t bytes) {
+  return "POST /holds/1 HTTP/1.1\r\nHost: slotboard\r\nContent-Length: " + std::to_string(bytes) +
+         "\r\n\r\n" + std::string(bytes, 'u');
+}
+
+bool LooksComplete(const std::string& response) {
+  return response.rfind("HTTP/1.1 200", 0) == 0 && response.ends_with("\r\n0\r\n\r\n");
+}
+
+}  // namespace
+
+// Guards against a target that responds to a long upload without a length and then resets the
+// connection: the failed write of the upload hides the reset, and the reads that follow end like
+// those of a connection that was closed in an orderly way.
+Test(wire, of_a_response_cut_by_a_reset_during_the_upload_never_looks_complete) {
+  fleet subject({.subnet = 204, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> hold_ms = 0;
+  const scripted_target target(address, [&](const std::string&) {
+    return scripted_target::response{
+        .bytes = "HTTP/1.1 200 OK\r\n\r\npart of the body", .hold_ms = hold_ms, .reset = true};
+  });
+  StartWithDocument(subject);
+  for (hold_ms = 0; hold_ms <= 200; hold_ms += 50) {
+    const std::string response = SendRaw(address, kEntryPort, UploadRequest(16U << 20U));
+    Require(!LooksComplete(response), std::to_string(hold_ms) + " ms: " + response);
+  }
+}
+
+namespace {
+
+/// Responses that no target may get passed on. Each carries a second response in its body, which
+/// shows if the bytes after a head that was misread are taken for the response.
+std::vector<std::string> BrokenResponses() {
+  const std::string inner =
+      "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nConnection: close\r\n\r\nwrong-1";
+  const std::string rest =
+      "Content-Length: " + std::to_string(inner.size()) + "\r\nConnection: close\r\n\r\n" + inner;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  return {"HTTP/1.1 000 None\r\n" + rest,
+          "HTTP/1.1 099 None\r\n" + rest,
+          "HTTP/1.1 600 None\r\n" + rest,
+          "HTTP/1.1 999 None\r\n" + rest,
+          ok + "Bad Name: x\r\n" + rest,
+          ok + "Bad-Name : x\r\n" + rest,
+          ok + "Bad\x01Name: x\r\n" + rest,
+          ok +
+              "X-Value: a\x01"
+              "b\r\n" +
+              rest,
+          ok + std::string("X-Value: a\0b\r\n", 14) + rest,
+          ok + ": x\r\n" + rest,
+          ok + "X-Folded: a\r\n b\r\n" + rest,
+          ok + "X-Bare: a\n" + rest,
+          "HTTP/1.1 200 OK\n" + rest,
+          ok + "Transfer-Encoding: chunked\r\n" + rest,
+          ok + "Transfer-Encoding: gzip\r\nConnection: close\r\n\r\n" + inner,
+          ok + "Content-Length: 3\r\n" + rest};
+}
+
+}  // namespace
+
+// Guards against heads that a lenient reader passes on: a status that is none, names and values
+// with blanks or control bytes, and framing that two readers understand differently.
+Test(wire, of_broken_responses_reports_a_bad_gateway_and_passes_nothing_on) {
+  fleet subject({.subnet = 208, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const std::vector<std::string> broken = BrokenResponses();
+  const scripted_target target(address, [&](const std::string& head) {
+    return scripted_target::response{broken.at(std::stoul(PathOf(head).substr(1)))};
+  });
+  StartWithDocument(subject);
+  std::string passed_on;
+  for (std::size_t i = 0; i < broken.size(); ++i) {
+    const std::string response = SendRaw(
+        address, kEntryPort,
+        "POST /" + std::to_string(i) + " HTTP/1.1\r\nHost: slotboard\r\nContent-Length: 0\r\n\r\n");
+    const bool reported = response.rfind("HTTP/1.1 502", 0) == 0 &&
+                          response.find("x-catkinmoor-outcome: unknown") != std::string::npos;
+    if (!reported) passed_on += broken[i].substr(0, 60) + "\n-> " + response.substr(0, 200) + "\n";
+  }
+  Require(passed_on.empty(), passed_on);
+}
