Read the heads of all responses strictly

Cause: the parser takes status 000 for an interim response, passes 600 to 999, joins folded lines and ends a response with an unknown transfer coding by the end of the connection. A write that fails with a reset consumes the error of the socket, so that the reads after it end like those after an orderly close; the part of a response without a length that had arrived was passed on as complete.

Change: framework/http/response_head checks a head as its bytes arrive; response_reader reads heads with it for the gate, the entry and the client of store and administration. A response that ends with its connection is complete only if no write to that connection failed and TCP_INFO does not show a reset. The client skips interim responses, at most four, which it returned as final ones, and never keeps a connection with unread bytes.

Checked for the same cause: the client does not read after a failed write; the entry gets framed responses from gates, and has the same check in the transfer of bodies.

--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -11,8 +11,10 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 
 #include "framework/base/sharded_map.h"
+#include "framework/http/response_reader.h"
 
 namespace catkinmoor::http {
 namespace {
@@ -23,6 +25,7 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdlePerPeer = 4;
+constexpr std::size_t kMaxResponseHeadBytes = 8U << 10U;
 constexpr std::uint64_t kMaxResponseBodyBytes = 16U << 20U;
 /// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
 constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
@@ -73,24 +76,44 @@
     co_return outcome;
   }
   beast::flat_buffer buffer(kMaxUnparsedBytes);
-  bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(kMaxResponseBodyBytes);
-  if (message.method == "HEAD") parser.skip(true);
-  auto [read_failed, count] = co_await bhttp::async_read(stream, buffer, parser, kAwait);
+  std::optional<bhttp::response_parser<bhttp::string_body>> parser;
+  for (int interim = 0;; ++interim) {
+    parser.emplace();
+    parser->body_limit(kMaxResponseBodyBytes);
+    if (message.method == "HEAD") parser->skip(true);
+    const head_result head =
+        co_await ReadResponseHead(stream, buffer, *parser, kMaxResponseHeadBytes);
+    outcome.bytes += head.bytes;
+    if (head.failed) {
+      outcome.timed_out = head.failed == beast::error::timeout;
+      outcome.message = "read: " + head.Message();
+      co_return outcome;
+    }
+    if (parser->get().result_int() >= 200) break;
+    if (interim < kMaxInterimResponses) continue;
+    outcome.message = "read: too many interim responses";
+    co_return outcome;
+  }
+  auto [read_failed, count] = co_await bhttp::async_read(stream, buffer, *parser, kAwait);
   outcome.bytes += count;
   if (read_failed) {
     outcome.timed_out = read_failed == beast::error::timeout;
     outcome.message = "read: " + read_failed.message();
     co_return outcome;
   }
+  if (parser->need_eof() && HowEnded(stream.socket().native_handle()) == connection_end::kReset) {
+    outcome.message = "read: the connection that ends the response was reset";
+    co_return outcome;
+  }
   outcome.reached = progress::kResponseReceived;
-  outcome.response_message.status = parser.get().result_int();
-  for (const auto& each : parser.get()) {
+  outcome.response_message.status = parser->get().result_int();
+  for (const auto& each : parser->get()) {
     outcome.response_message.headers.emplace(std::string(each.name_string()),
                                              std::string(each.value()));
   }
-  outcome.keep_alive = parser.keep_alive();
-  outcome.response_message.body = std::move(parser.get().body());
+  // Bytes behind the response belong to no request of this client.
+  outcome.keep_alive = parser->keep_alive() && buffer.size() == 0;
+  outcome.response_message.body = std::move(parser->get().body());
   co_return outcome;
 }
 
--- a/src/framework/http/tests/client_test.cc
+++ b/src/framework/http/tests/client_test.cc
@@ -123,3 +123,95 @@
   for (int i = 0; i < 5; ++i) cr_assert(Ok(fixture.Send(1, kLongTimeout).front()));
   cr_assert(fixture.peer.Connections() == 1);
 }
+
+namespace {
+
+/// A peer that answers each request with the same bytes and closes the connection afterwards if
+/// asked to.
+class scripted_peer {
+ public:
+  scripted_peer(asio::io_context& context, std::string answer, bool closes)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        answer_(std::move(answer)),
+        closes_(closes) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+
+  endpoint Address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  int Connections() const { return connections_; }
+
+ private:
+  asio::awaitable<void> Accept() {
+    for (;;) {
+      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      ++connections_;
+      asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    asio::streambuf received;
+    do {
+      const std::size_t size =
+          co_await asio::async_read_until(socket, received, "\r\n\r\n", asio::use_awaitable);
+      received.consume(size);
+      co_await asio::async_write(socket, asio::buffer(answer_), asio::use_awaitable);
+    } while (!closes_);
+  }
+
+  tcp::acceptor acceptor_;
+  std::string answer_;
+  bool closes_;
+  int connections_ = 0;
+};
+
+result<response> SendTo(asio::io_context& context, client& subject, const scripted_peer& peer) {
+  std::optional<result<response>> outcome;
+  asio::co_spawn(
+      context, subject.Send(peer.Address(), request{"GET", "/", {}, ""}, kLongTimeout),
+      [&](const std::exception_ptr&, result<response> sent) { outcome = std::move(sent); });
+  while (!outcome) context.run_one();
+  return *outcome;
+}
+
+}  // namespace
+
+// Guards against an interim response that is taken for the final one, which is then returned to the
+// next request on the connection.
+Test(client, with_interim_responses_returns_the_final_one_of_each_request) {
+  asio::io_context context{1};
+  const scripted_peer peer(context,
+                           "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+                           false);
+  client subject;
+  for (int i = 0; i < 3; ++i) {
+    const auto outcome = SendTo(context, subject, peer);
+    cr_assert(Ok(outcome));
+    cr_assert_eq(Value(outcome).status, 200);
+    cr_assert_eq(Value(outcome).body, "hi");
+  }
+  cr_assert_eq(peer.Connections(), 1);
+}
+
+// Guards against a store whose broken responses are taken for documents or refusals.
+Test(client, with_a_broken_response_fails) {
+  std::string flood;
+  for (int i = 0; i < 20; ++i) flood += "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nhi"),
+        std::string("HTTP/1.1 600 None\r\nContent-Length: 2\r\n\r\nhi"),
+        ok + "Bad Name: a\r\nContent-Length: 2\r\n\r\nhi",
+        ok + "X: a\r\n folded\r\nContent-Length: 2\r\n\r\nhi",
+        ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+        ok + "Content-Length: 3\r\n\r\nhi", ok + "Transfer-Encoding: gzip\r\n\r\nhi",
+        flood + ok + "Content-Length: 2\r\n\r\nhi"}) {
+    asio::io_context context{1};
+    const scripted_peer peer(context, answer, true);
+    client subject;
+    const auto outcome = SendTo(context, subject, peer);
+    cr_assert(!Ok(outcome), "%s", answer.c_str());
+    cr_assert(Failure(outcome).kind == error_kind::kUnavailable);
+  }
+}
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -2,10 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
+#include "framework/http/response_reader.h"
 #include "proxy/internal/target_responses.h"
 
 namespace catkinmoor::proxy_internal {
@@ -235,8 +235,9 @@
       co_return;
     }
   }
-  const transfer_outcome transfer =
-      co_await TransferBody(caller, parser, *attempt.gate, call.body, settings_.progress_timeout);
+  std::uint64_t sent_bytes = 0;
+  const transfer_outcome transfer = co_await TransferBody(caller, parser, *attempt.gate, call.body,
+                                                          settings_.progress_timeout, sent_bytes);
   if (transfer == transfer_outcome::kReadFailed) {
     attempt.caller_disconnected = true;
     Abort(*attempt.gate);
@@ -250,7 +251,7 @@
   parser->header_limit(kMaxResponseHeaderBytes);
   parser->skip(call.is_head);
   bool caller_gone = false;
-  beast::error_code failed;
+  http::head_result head;
   {
     std::optional<disconnect_watch> watch;
     if (!call.streams_body) {
@@ -260,17 +261,16 @@
       });
     }
     attempt.gate->stream.expires_at(call.deadline);
-    auto [read_failed, count] = co_await bhttp::async_read_header(
-        attempt.gate->stream, attempt.gate->buffer, *parser, kAwait);
-    failed = read_failed;
+    head = co_await http::ReadResponseHead(attempt.gate->stream, attempt.gate->buffer, *parser,
+                                           kMaxResponseHeaderBytes);
   }
-  if (!failed) {
+  if (!head.failed) {
     attempt.response = std::move(parser);
     co_return;
   }
   Abort(*attempt.gate);
   attempt.caller_disconnected = caller_gone;
-  attempt.failure = {error_kind::kUnavailable, "await answer", "", failed.message()};
+  attempt.failure = {error_kind::kUnavailable, "await answer", "", head.Message()};
 }
 
 asio::awaitable<void> attempt_sender::ClassifyResponse(entry_worker_state& worker,
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -327,8 +327,9 @@
     }
     const bool is_head = parser.get().method() == bhttp::verb::head;
     PrepareRequest(parser.get(), call, deadline);
+    std::uint64_t sent_bytes = 0;
     const transfer_outcome transfer =
-        co_await TransferRequest(entry, parser, *backend, settings_.progress_timeout);
+        co_await TransferRequest(entry, parser, *backend, settings_.progress_timeout, sent_bytes);
     if (transfer == transfer_outcome::kReadFailed) {
       Abort(*backend);
       co_return false;
@@ -364,7 +365,7 @@
                                       bool keep_open, time_point deadline) {
     const time_point forwarded_at = Now();
     std::optional<response_parser> parser;
-    beast::error_code failed;
+    http::head_result head;
     bool entry_disconnected = false;
     {
       const disconnect_watch watch(entry, [&] {
@@ -372,24 +373,25 @@
         backend->stream.cancel();
       });
       const response_read_context context{settings_, deps_.metrics};
-      failed = co_await ReadResponseHeader(call, *backend, parser, is_head, deadline, context);
+      head = co_await ReadResponseHeader(call, *backend, parser, is_head, deadline, context);
     }
-    if (!failed) {
+    if (!head.failed) {
       ApplyLimit(call, parser->get());
       if (IsLeavingResponse(parser->get(), settings_.conventions)) EndNewRequests(call.instance);
     }
-    if (!failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
+    if (!head.failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
       co_return co_await RelayNotRun(worker, entry, std::move(backend), address, *parser, is_head,
                                      keep_open);
     }
-    if (!failed && IsCorrupted(parser->get(), settings_.conventions))
-      failed = bhttp::error::bad_value;
-    if (failed) {
+    if (!head.failed && IsCorrupted(parser->get(), settings_.conventions)) {
+      head.failed = bhttp::error::bad_value;
+      head.problem = "a success without its proof";
+    }
+    if (head.failed) {
       Abort(*backend);
       if (entry_disconnected) co_return false;
-      local_response lost =
-          UnknownResponse(502, "target-lost", ToString(address), failed.message());
-      if (failed == beast::error::timeout) {
+      local_response lost = UnknownResponse(502, "target-lost", ToString(address), head.Message());
+      if (head.failed == beast::error::timeout) {
         lost.status = 504;
         lost.reason = kReasonDeadline;
       } else {
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -10,6 +10,7 @@
 #include <boost/json/serialize.hpp>
 #include <cstdio>
 
+#include "framework/http/response_head.h"
 #include "proxy/internal/call_headers.h"
 
 namespace catkinmoor::proxy_internal {
@@ -93,6 +94,16 @@
   co_await timer.async_wait(kAwait);
 }
 
+/// Whether a response that ends with its connection was cut by a reset. A write that failed before
+/// may have consumed the reset's error; the reads after it then end like those after an orderly
+/// close.
+template <bool kIsRequest>
+bool EndedByReset(connection& from, const bhttp::parser<kIsRequest, bhttp::buffer_body>& parser) {
+  if (kIsRequest || !parser.need_eof()) return false;
+  return from.write_failed ||
+         http::HowEnded(from.stream.socket().native_handle()) == http::connection_end::kReset;
+}
+
 /// Copies a body block by block from the parser's stream to the serializer's until both are done.
 /// The sink is the message that the serializer writes; it may differ from the parser's.
 template <bool kIsRequest>
@@ -120,6 +131,7 @@
       if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kReadFailed;
       size = block.size() - parser.get().body().size;
       more = !parser.is_done();
+      if (!more && EndedByReset(from, parser)) co_return transfer_outcome::kReadFailed;
       // An empty block would be written as the last chunk and end a body that is not complete.
       if (size == 0 && more) continue;
     }
@@ -131,7 +143,10 @@
     sink.body().more = more;
     to.stream.expires_after(pacing.progress_timeout);
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
-    if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
+    if (failed && failed != bhttp::error::need_buffer) {
+      to.write_failed = true;
+      co_return transfer_outcome::kWriteFailed;
+    }
     transferred_bytes += size;
   } while (!parser.is_done() || !serializer.is_done());
   if (from.buffer.size() == 0) from.buffer.shrink_to_fit();
@@ -152,7 +167,10 @@
     serializer.split(true);
     to.stream.expires_after(pacing.progress_timeout);
     auto [failed, count] = co_await bhttp::async_write_header(to.stream, serializer, kAwait);
-    if (failed) co_return transfer_outcome::kWriteFailed;
+    if (failed) {
+      to.write_failed = true;
+      co_return transfer_outcome::kWriteFailed;
+    }
   }
   co_return co_await TransferBlocks<kIsRequest>(from, parser, to, serializer, sink, pacing,
                                                 transferred_bytes);
@@ -243,9 +261,9 @@
 }
 
 asio::awaitable<transfer_outcome> TransferRequest(connection& from, request_parser& parser,
-                                                  connection& to, milliseconds progress_timeout) {
+                                                  connection& to, milliseconds progress_timeout,
+                                                  std::uint64_t& transferred_bytes) {
   bhttp::request_serializer<bhttp::buffer_body> serializer(parser.get());
-  std::uint64_t transferred_bytes = 0;
   const transfer_pacing pacing{progress_timeout};
   co_return co_await TransferMessage<true>(from, parser, to, serializer, parser.get(), pacing,
                                            transferred_bytes);
@@ -261,7 +279,8 @@
 
 asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
                                                connection& to, const std::string& prefix,
-                                               milliseconds progress_timeout) {
+                                               milliseconds progress_timeout,
+                                               std::uint64_t& transferred_bytes) {
   bhttp::request_serializer<bhttp::buffer_body> serializer(parser.get());
   serializer.split(true);
   parser.get().body().data = nullptr;
@@ -281,9 +300,11 @@
     to.stream.expires_after(progress_timeout);
     auto [write_failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     const bool can_continue = !write_failed || write_failed == bhttp::error::need_buffer;
-    if (!can_continue) co_return transfer_outcome::kWriteFailed;
+    if (!can_continue) {
+      to.write_failed = true;
+      co_return transfer_outcome::kWriteFailed;
+    }
   }
-  std::uint64_t transferred_bytes = 0;
   const transfer_pacing pacing{progress_timeout};
   co_return co_await TransferBlocks<true>(from, parser, to, serializer, parser.get(), pacing,
                                           transferred_bytes);
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -48,6 +48,9 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
+  /// Whether writing has failed. The error may have been that of a reset, which later reads then do
+  /// not return any more.
+  bool write_failed = false;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -91,7 +94,8 @@
 /// Sends a request whose header has been parsed, then streams its body, buffering at most one
 /// block. A body that is cut short is never terminated as if it were complete.
 asio::awaitable<transfer_outcome> TransferRequest(connection& from, request_parser& parser,
-                                                  connection& to, milliseconds progress_timeout);
+                                                  connection& to, milliseconds progress_timeout,
+                                                  std::uint64_t& transferred_bytes);
 
 /// State of a response that is being sent. If its source fails, another source can continue it.
 /// With a pacer, a long response is limited to the rate of the link.
@@ -114,7 +118,8 @@
 /// the body that has been read; it is sent first.
 asio::awaitable<transfer_outcome> TransferBody(connection& from, request_parser& parser,
                                                connection& to, const std::string& prefix,
-                                               milliseconds progress_timeout);
+                                               milliseconds progress_timeout,
+                                               std::uint64_t& transferred_bytes);
 
 /// How reading a body ended.
 enum class body_outcome { kComplete, kTooLong, kMalformed, kDisconnected };
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -1,48 +1,48 @@
 #include "proxy/internal/target_responses.h"
 
-#include <boost/beast/http/read.hpp>
-
 #include "framework/logging/log.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
-// Number of interim responses and late responses to earlier requests that are skipped before the
-// connection is given up.
-constexpr int kMaxSkippedResponses = 3;
 constexpr std::size_t kMaxSkippedBodyBytes = 256U << 10U;
 
 }  // namespace
 
-asio::awaitable<beast::error_code> ReadResponseHeader(const gate_call& call, connection& backend,
+asio::awaitable<http::head_result> ReadResponseHeader(const gate_call& call, connection& backend,
                                                       std::optional<response_parser>& parser,
                                                       bool is_head, time_point deadline,
                                                       response_read_context context) {
-  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+  http::head_result head;
+  for (int skipped = 0; skipped <= http::kMaxInterimResponses; ++skipped) {
     parser.emplace();
     parser->body_limit(boost::none);
     parser->header_limit(kMaxResponseHeaderBytes);
     parser->skip(is_head);
     backend.stream.expires_at(deadline);
-    auto [failed, count] =
-        co_await bhttp::async_read_header(backend.stream, backend.buffer, *parser, kAwait);
-    if (failed) co_return failed;
+    head = co_await http::ReadResponseHead(backend.stream, backend.buffer, *parser,
+                                           kMaxResponseHeaderBytes);
+    if (head.failed) co_return head;
     if (parser->get().result_int() < 200) continue;
-    if (!context.settings.conventions.targets_echo_request_ids) co_return failed;
+    if (!context.settings.conventions.targets_echo_request_ids) co_return head;
     const auto id = parser->get()[kRequestIdHeader];
-    if (id == call.request_id) co_return failed;
+    if (id == call.request_id) co_return head;
     context.metrics.IncrementCounter("catkinmoor_gate_crossed_answers_total");
     logging::Warning("target response belongs to another request; discarded",
                      {{"request", call.request_id},
                       {"answers", std::string_view(id.data(), id.size())},
                       {"instance", call.instance}});
-    if (id.empty()) co_return bhttp::error::bad_value;
+    head.failed = bhttp::error::bad_value;
+    head.problem = "the response belongs to another request";
+    if (id.empty()) co_return head;
     const bool discarded =
         co_await DiscardResponseBody(backend, *parser, context.settings.progress_timeout);
-    if (!discarded) co_return bhttp::error::partial_message;
+    if (!discarded) co_return head;
   }
-  co_return bhttp::error::bad_value;
+  head.failed = bhttp::error::bad_value;
+  head.problem = "too many interim or late responses";
+  co_return head;
 }
 
 bool IsNotRunResponse(const response_message& response, const http_conventions& conventions) {
--- a/src/proxy/internal/target_responses.h
+++ b/src/proxy/internal/target_responses.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "framework/http/response_reader.h"
 #include "framework/metrics/registry.h"
 #include "proxy/internal/call_headers.h"
 #include "proxy/internal/http_stream.h"
@@ -16,7 +17,7 @@
 
 /// Reads the header of the response to a call. Skips interim (1xx) responses and late responses to
 /// earlier requests on the connection.
-asio::awaitable<beast::error_code> ReadResponseHeader(const gate_call& call, connection& backend,
+asio::awaitable<http::head_result> ReadResponseHeader(const gate_call& call, connection& backend,
                                                       std::optional<response_parser>& parser,
                                                       bool is_head, time_point deadline,
                                                       response_read_context context);
