Pass on a target's response while its upload is still sent

Cause: gate and entry wrote the whole body of a request before they read the response, so that an early response waited for the end of the upload, or for 15 s without progress if the target did not read on (read in the code; the new tests were not run on it). A connection whose upload had failed could be offered for reuse.

Change: body_upload streams a body in a coroutine of its own while the response is read and passed on. A response that arrives before the end of its upload closes the caller's connection. The rest of the body is sent as long as the target reads on, until the request's deadline or 1 s without progress; then the connection to the target is closed. It is reused only if the whole body was sent.

--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -111,6 +111,7 @@
     if (scripted.body_bytes > 0) {
       const auto following = ReadBody(connection, head, scripted.body_bytes);
       if (!following) break;
+      ++bodies_read_;
       rest = *following;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(scripted.hold_ms));
@@ -147,6 +148,40 @@
   }
 }
 
+raw_connection::raw_connection(const std::string& address, int port)
+    : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  const sockaddr_in socket_address = SocketAddress(address, port);
+  if (::connect(socket_, reinterpret_cast<const sockaddr*>(&socket_address),
+                sizeof(socket_address)) != 0) {
+    Close();
+    FailTest("cannot connect to " + address);
+  }
+}
+
+raw_connection::~raw_connection() { Close(); }
+
+void raw_connection::Close() {
+  if (socket_ >= 0) ::close(socket_);
+  socket_ = -1;
+}
+
+void raw_connection::Send(const std::string& bytes) {
+  ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+const std::string& raw_connection::ReceiveUntil(const std::string& text, int timeout_ms) {
+  const time_point deadline = Now() + milliseconds(timeout_ms);
+  char block[4096];
+  while (received_.find(text) == std::string::npos) {
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - Now()).count();
+    if (left <= 0 || !WaitUntilReadable(socket_, static_cast<int>(left))) break;
+    const auto got = ::recv(socket_, block, sizeof(block), 0);
+    if (got <= 0) break;
+    received_.append(block, static_cast<std::size_t>(got));
+  }
+  return received_;
+}
+
 std::string SendRaw(const std::string& address, int port, const std::string& bytes) {
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   const sockaddr_in socket_address = SocketAddress(address, port);
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -44,6 +44,9 @@
   /// Number of responses without end that the caller has ended by closing the connection.
   int EndlessResponsesClosed() const { return endless_closed_; }
 
+  /// Number of bodies that were read whole after their response.
+  int BodiesRead() const { return bodies_read_; }
+
  private:
   void Serve();
   void ServeConnection(int connection);
@@ -55,11 +58,34 @@
   int listener_ = -1;
   std::atomic<int> requests_ = 0;
   std::atomic<int> endless_closed_ = 0;
+  std::atomic<int> bodies_read_ = 0;
   std::atomic<bool> stopping_ = false;
   std::thread server_;
   std::thread announcer_;
 };
 
+/// A caller's connection whose bytes a test sends and receives itself.
+class raw_connection {
+ public:
+  raw_connection(const std::string& address, int port);
+  ~raw_connection();
+  raw_connection(const raw_connection&) = delete;
+  raw_connection& operator=(const raw_connection&) = delete;
+
+  void Send(const std::string& bytes);
+
+  /// Closes the connection in an orderly way.
+  void Close();
+
+  /// Receives until a text has arrived, the connection has ended, or the timeout has passed.
+  /// Returns all that was received on the connection so far.
+  const std::string& ReceiveUntil(const std::string& text, int timeout_ms = 5'000);
+
+ private:
+  int socket_ = -1;
+  std::string received_;
+};
+
 /// Sends bytes to a port and returns what is received until the connection is closed or nothing has
 /// arrived for one second.
 std::string SendRaw(const std::string& address, int port, const std::string& bytes);
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using catkinmoor::fleet;
+using catkinmoor::raw_connection;
 using catkinmoor::Require;
 using catkinmoor::scripted_target;
 using catkinmoor::SendRaw;
@@ -384,3 +385,73 @@
   }
   Require(passed_on.empty(), passed_on);
 }
+
+// Guards against a response that is delimited by the end of its connection and cut by a reset,
+// before its first byte, at any later one, or right after the last.
+Test(wire, of_a_response_without_a_length_reset_at_every_byte_never_looks_complete) {
+  fleet subject({.subnet = 212, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const std::string full = "HTTP/1.1 200 OK\r\nX-Own: a\r\n\r\nhello, world";
+  std::atomic<std::size_t> size = 0;
+  const scripted_target target(address, [&](const std::string&) {
+    return scripted_target::response{.bytes = full.substr(0, size), .reset = true};
+  });
+  StartWithDocument(subject);
+  for (size = 0; size <= full.size(); ++size) {
+    const auto response = subject.SendToEntry(address, "POST", "/holds/1");
+    Require(response.status != 200, "reset after byte " + std::to_string(size));
+  }
+}
+
+// Guards against a response that waits for the end of its upload: a target may respond early, keep
+// the connection and read on.
+Test(wire, of_an_early_response_to_an_upload_is_passed_on_and_the_body_is_read) {
+  fleet subject({.subnet = 216, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  constexpr std::size_t kBytes = 4U << 20U;
+  const scripted_target target(address, [&](const std::string&) {
+    return scripted_target::response{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly",
+                                     .keep_alive = true,
+                                     .body_bytes = kBytes};
+  });
+  StartWithDocument(subject);
+  const std::string request = UploadRequest(kBytes);
+  raw_connection caller(address, kEntryPort);
+  caller.Send(request.substr(0, request.size() / 2));
+  const std::string response = caller.ReceiveUntil("early");
+  Require(response.rfind("HTTP/1.1 200", 0) == 0 && response.ends_with("early"), response);
+  caller.Send(request.substr(request.size() / 2));
+  catkinmoor::WaitUntil("the end of the upload", [&] { return target.BodiesRead() == 1; });
+  Require(target.Requests() == 1);
+}
+
+// Guards against other bytes where a target expects the rest of a body: a connection whose body was
+// not sent whole must not carry another request, however the target goes on.
+Test(wire, of_an_early_response_whose_body_is_not_read_never_reuses_its_connection) {
+  fleet subject({.subnet = 220, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> invalid_heads = 0;
+  const scripted_target target(address, [&](const std::string& head) {
+    const bool uploads = head.rfind("POST ", 0) == 0;
+    if (!uploads && head.rfind("GET ", 0) != 0) ++invalid_heads;
+    return scripted_target::response{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                                     .keep_alive = true,
+                                     .hold_ms = uploads ? 2'500 : 0};
+  });
+  StartWithDocument(subject);
+  const std::string request = UploadRequest(16U << 20U);
+  for (const std::size_t sent : {std::size_t{1} << 20U, request.size()}) {
+    raw_connection caller(address, kEntryPort);
+    caller.Send(request.substr(0, sent));
+    const std::string response = caller.ReceiveUntil("\r\n\r\nok");
+    Require(response.rfind("HTTP/1.1 200", 0) == 0, response);
+    // The target reads on after 2.5 s; meanwhile and afterwards, other requests are served.
+    const auto end = catkinmoor::Now() + catkinmoor::milliseconds(3'500);
+    while (catkinmoor::Now() < end) {
+      const auto other = subject.SendToEntry(address, "GET", "/slots");
+      Require(other.status == 200 && other.body == "ok", std::to_string(other.status));
+      catkinmoor::SleepBetweenPolls();
+    }
+  }
+  Require(invalid_heads == 0);
+}
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -98,8 +98,25 @@
   const bool awaiting_response =
       attempt.outcome == attempt_outcome::kLost && attempt.response == nullptr;
   if (awaiting_response && !attempt.caller_disconnected) {
-    ScheduleGateQuery(wait, SilenceCheckDelay(call));
+    body_upload* const upload = attempt.upload.get();
+    if (upload == nullptr) {
+      ScheduleGateQuery(wait, SilenceCheckDelay(call));
+    } else {
+      upload->OnDone([&, upload] {
+        if (upload->Outcome() == transfer_outcome::kReadFailed) {
+          Abort(*attempt.gate);
+        } else {
+          ScheduleGateQuery(wait, SilenceCheckDelay(call));
+        }
+      });
+    }
     co_await ReadGateResponse(caller, call, attempt);
+    if (upload != nullptr) {
+      upload->OnDone(nullptr);
+      const bool caller_failed =
+          upload->IsDone() && upload->Outcome() == transfer_outcome::kReadFailed;
+      attempt.caller_disconnected = caller_failed && attempt.response == nullptr;
+    }
   }
   worker.response_waits.erase(wait.get());
   wait->active = false;
@@ -107,6 +124,9 @@
   if (awaiting_response) ApplyReportedFate(*wait, attempt);
   deps_.loads.OnRequestEnded(target.vm);
   if (attempt.response != nullptr) co_await ClassifyResponse(worker, target, attempt);
+  const bool delivers = attempt.outcome == attempt_outcome::kResponded ||
+                        attempt.outcome == attempt_outcome::kFailureResponse;
+  if (!delivers && attempt.upload != nullptr) co_await attempt.upload->Stop();
   if (attempt.failure.peer.empty()) attempt.failure.peer = ToString(target.gate);
   co_return attempt;
 }
@@ -235,13 +255,9 @@
       co_return;
     }
   }
-  std::uint64_t sent_bytes = 0;
-  const transfer_outcome transfer = co_await TransferBody(caller, parser, *attempt.gate, call.body,
-                                                          settings_.progress_timeout, sent_bytes);
-  if (transfer == transfer_outcome::kReadFailed) {
-    attempt.caller_disconnected = true;
-    Abort(*attempt.gate);
-  }
+  attempt.upload =
+      std::make_shared<body_upload>(caller, parser, *attempt.gate, settings_.progress_timeout);
+  attempt.upload->StartBody(call.body);
 }
 
 asio::awaitable<void> attempt_sender::ReadGateResponse(connection& caller, const call_state& call,
@@ -303,6 +319,10 @@
 asio::awaitable<void> attempt_sender::DiscardResponse(entry_worker_state& worker,
                                                       member_record target,
                                                       attempt_result& attempt) {
+  if (attempt.upload != nullptr && !attempt.upload->IsComplete()) {
+    co_await attempt.upload->Stop();
+    co_return;
+  }
   const bool reusable = co_await ReadToEnd(*attempt.gate, *attempt.response);
   if (reusable) worker.pool.Return(target.gate, std::move(attempt.gate), settings_.idle_timeout);
 }
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int kMaxResumes = 3;
+// Time without progress after which the rest of a body is not sent any more once its response has
+// been delivered.
+constexpr milliseconds kMaxUploadPause{1'000};
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -241,7 +244,8 @@
                                                        attempt_result attempt) {
   response_parser& response = *attempt.response;
   const bool reusable = response.keep_alive();
-  const bool keep_open = call.keep_alive && !draining_ && parser.is_done();
+  const bool uploads = attempt.upload != nullptr && !attempt.upload->IsComplete();
+  const bool keep_open = call.keep_alive && !draining_ && parser.is_done() && !uploads;
   response_message& message = response.get();
   RemoveHopByHop(message);
   RemoveMeshHeaders(message);
@@ -267,9 +271,17 @@
     transfer = co_await Resume(worker, caller, parser, call, std::move(context), writer);
   }
   RecordRequest(call, status, transfer == transfer_outcome::kComplete ? kOutcomeRan : "cut");
+  const bool body_sent = attempt.upload == nullptr || attempt.upload->IsComplete();
   if (transfer != transfer_outcome::kComplete) {
     Abort(*attempt.gate);
     Abort(caller);
+    if (!body_sent) co_await attempt.upload->Stop();
+    co_return false;
+  }
+  if (!body_sent) {
+    // The target may still read the body that it has responded to.
+    co_await attempt.upload->Finish(kMaxUploadPause, call.deadline);
+    co_await CloseAfterUnreadBody(caller);
     co_return false;
   }
   if (reusable && first_target_intact) {
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -7,6 +7,7 @@
 #include "peer/messages.h"
 #include "proxy/internal/call_headers.h"
 #include "proxy/internal/http_stream.h"
+#include "proxy/internal/wire/body_upload.h"
 #include "routing/retry_policy.h"
 
 namespace catkinmoor::proxy_internal {
@@ -69,6 +70,9 @@
   bool caller_disconnected = false;
   bool connection_silent = false;
   connection_ptr gate;
+  /// The streamed body of the request, if it was sent in part or whole. Not done only if there is
+  /// a response to deliver.
+  body_upload_ptr upload;
   std::unique_ptr<response_parser> response;
   std::string reason;
   error failure;
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -12,6 +12,7 @@
 #include "proxy/internal/slot_controller.h"
 #include "proxy/internal/http_stream.h"
 #include "proxy/internal/target_responses.h"
+#include "proxy/internal/wire/body_upload.h"
 
 namespace catkinmoor {
 
@@ -26,6 +27,9 @@
 constexpr milliseconds kMaxIdleTime{30'000};
 // A connection used this recently has not reached the target's idle timeout.
 constexpr milliseconds kMaxIdleTimeNotRepeatable{800};
+// Time without progress after which the rest of a body is not sent to a target that has responded
+// already: it does not read on.
+constexpr milliseconds kMaxUploadPause{1'000};
 // Share of the link's rate available to long responses; the rest is for framing and all other
 // messages.
 constexpr double kLinkShare = 0.85;
@@ -327,16 +331,24 @@
     }
     const bool is_head = parser.get().method() == bhttp::verb::head;
     PrepareRequest(parser.get(), call, deadline);
-    std::uint64_t sent_bytes = 0;
-    const transfer_outcome transfer =
-        co_await TransferRequest(entry, parser, *backend, settings_.progress_timeout, sent_bytes);
-    if (transfer == transfer_outcome::kReadFailed) {
-      Abort(*backend);
-      co_return false;
+    body_upload_ptr upload;
+    if (parser.is_done()) {
+      std::uint64_t sent_bytes = 0;
+      co_await TransferRequest(entry, parser, *backend, settings_.progress_timeout, sent_bytes);
+    } else {
+      upload = std::make_shared<body_upload>(entry, parser, *backend, settings_.progress_timeout);
+      upload->Start();
+    }
+    const response_route route{worker, target.address, is_head, deadline};
+    bool keep_open =
+        co_await RelayResponse(route, entry, backend, call, upload.get(), parser.keep_alive());
+    if (upload != nullptr && !upload->IsComplete()) {
+      // The entry has the response already. The target may still read the body, and gets its rest
+      // or a closed connection.
+      if (backend != nullptr) co_await upload->Finish(kMaxUploadPause, deadline);
+      keep_open = false;
     }
-    const bool keep_open = parser.keep_alive() && parser.is_done();
-    co_return co_await RelayResponse(worker, entry, std::move(backend), target.address, call,
-                                     is_head, keep_open, deadline);
+    co_return keep_open;
   }
 
   void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) const {
@@ -359,27 +371,64 @@
     message.keep_alive(true);
   }
 
-  /// Reads the target's response and forwards it to the entry.
-  asio::awaitable<bool> RelayResponse(std::size_t worker, connection& entry, connection_ptr backend,
-                                      endpoint address, gate_call call, bool is_head,
-                                      bool keep_open, time_point deadline) {
+  /// What is needed to read a response, beside its connections.
+  struct response_route {
+    std::size_t worker;
+    endpoint address;
+    bool is_head;
+    time_point deadline;
+  };
+
+  /// Reads the header of the target's response while the body of the request, if any, is sent.
+  /// Fails if the entry disconnects, which is detected by a read of the upload, or by a watch once
+  /// nothing is read from the entry any more.
+  asio::awaitable<http::head_result> AwaitResponse(const response_route& route, connection& entry,
+                                                   connection& backend, const gate_call& call,
+                                                   body_upload* upload,
+                                                   std::optional<response_parser>& parser,
+                                                   bool& entry_disconnected) {
+    std::optional<disconnect_watch> watch;
+    const auto abandon = [&] {
+      entry_disconnected = true;
+      Abort(backend);
+    };
+    const auto start_watch = [&] { watch.emplace(entry, abandon); };
+    if (upload == nullptr) {
+      start_watch();
+    } else {
+      upload->OnDone([&] {
+        if (upload->Outcome() == transfer_outcome::kReadFailed) abandon();
+        if (upload->Outcome() == transfer_outcome::kComplete) start_watch();
+      });
+    }
+    const response_read_context context{settings_, deps_.metrics};
+    http::head_result head =
+        co_await ReadResponseHeader(call, backend, parser, route.is_head, route.deadline, context);
+    if (upload != nullptr) upload->OnDone(nullptr);
+    co_return head;
+  }
+
+  /// Reads the target's response and forwards it to the entry. Takes the connection to the target
+  /// if it can be used again.
+  asio::awaitable<bool> RelayResponse(response_route route, connection& entry,
+                                      connection_ptr& backend, gate_call call, body_upload* upload,
+                                      bool keep_open) {
+    const std::size_t worker = route.worker;
+    const endpoint& address = route.address;
+    const bool is_head = route.is_head;
     const time_point forwarded_at = Now();
     std::optional<response_parser> parser;
-    http::head_result head;
     bool entry_disconnected = false;
-    {
-      const disconnect_watch watch(entry, [&] {
-        entry_disconnected = true;
-        backend->stream.cancel();
-      });
-      const response_read_context context{settings_, deps_.metrics};
-      head = co_await ReadResponseHeader(call, *backend, parser, is_head, deadline, context);
-    }
+    http::head_result head =
+        co_await AwaitResponse(route, entry, *backend, call, upload, parser, entry_disconnected);
+    const bool body_sent = upload == nullptr || upload->IsComplete();
+    keep_open = keep_open && body_sent;
     if (!head.failed) {
       ApplyLimit(call, parser->get());
       if (IsLeavingResponse(parser->get(), settings_.conventions)) EndNewRequests(call.instance);
     }
     if (!head.failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
+      if (!body_sent) co_await upload->Stop();
       co_return co_await RelayNotRun(worker, entry, std::move(backend), address, *parser, is_head,
                                      keep_open);
     }
@@ -389,6 +438,7 @@
     }
     if (head.failed) {
       Abort(*backend);
+      if (!body_sent) co_await upload->Stop();
       if (entry_disconnected) co_return false;
       local_response lost = UnknownResponse(502, "target-lost", ToString(address), head.Message());
       if (head.failed == beast::error::timeout) {
@@ -411,7 +461,8 @@
       co_return co_await SendLocalResponse(entry, lost, keep_open, is_head,
                                            settings_.progress_timeout);
     }
-    const auto processing_time = std::chrono::duration_cast<milliseconds>(Now() - forwarded_at);
+    const time_point received_at = upload != nullptr && body_sent ? upload->DoneAt() : forwarded_at;
+    const auto processing_time = std::chrono::duration_cast<milliseconds>(Now() - received_at);
     const bool reusable = parser->keep_alive();
     const milliseconds idle_timeout = PeerIdleTimeout(parser->get());
     PrepareResponse(*parser, call.route, keep_open);
@@ -429,11 +480,13 @@
     if (transfer != transfer_outcome::kComplete) {
       Abort(*backend);
       Abort(entry);
+      if (!body_sent) co_await upload->Stop();
       co_return false;
     }
     deps_.ledger.RecordResponse(call.attempt);
     if (deps_.quarantine.OnResponse(call.fingerprint)) deps_.on_cleared(call.fingerprint);
-    if (reusable) pools_[worker].Return(address, std::move(backend), idle_timeout);
+    if (!reusable && !body_sent) co_await upload->Stop();
+    if (reusable && body_sent) pools_[worker].Return(address, std::move(backend), idle_timeout);
     co_return keep_open;
   }
 
@@ -481,7 +534,8 @@
     const std::string id(response.get()[kRequestIdHeader]);
     const milliseconds idle_timeout = PeerIdleTimeout(response.get());
     bool discarded = false;
-    if (response.keep_alive()) {
+    const bool is_open = backend->stream.socket().is_open();
+    if (is_open && response.keep_alive()) {
       discarded = co_await DiscardResponseBody(*backend, response, settings_.progress_timeout);
     }
     if (discarded) pools_[worker].Return(address, std::move(backend), idle_timeout);
