Choose targets by the cost of a request and the work that they have left

Cause: the balanced choice went by the mean service time of a route class and by counts of requests. It saw neither that machines slow down for moments (the fourth figure of the targets' load header was not read) nor that requests of one route differ in cost.

Change: entries learn the distribution of costs by route, workspace and size (request_cost_model) and the work time of a target relative to the others; gates pass on the pace that a target states and the work that is left. The expected response time and the risk of a late one follow from these. Where targets state no pace nothing changes.

--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -110,6 +110,10 @@
   /// while the route has no sample.
   double MeanServiceMs(const std::string& route) const;
 
+  /// Expected work left in the requests that run or wait, in milliseconds. A running request is on
+  /// average half done.
+  double ExpectedWorkLeftMs() const;
+
   /// Expected time until all waiting requests have got a slot, in milliseconds.
   double ExpectedBacklogMs(time_point now) const;
 
--- a/src/admission/internal/admission_queue.cc
+++ b/src/admission/internal/admission_queue.cc
@@ -133,6 +133,18 @@
   return found == service_ms_by_route_.end() ? mean_service_ms_ : found->second;
 }
 
+double admission_queue::ExpectedWorkLeftMs() const {
+  constexpr double kRunningShare = 0.5;
+  double left_ms = 0;
+  for (const auto& [route, running] : running_by_route_) {
+    left_ms += kRunningShare * static_cast<double>(running) * MeanServiceMs(route);
+  }
+  for (const auto& [route, waiting] : waiting_by_route_) {
+    left_ms += static_cast<double>(waiting) * MeanServiceMs(route);
+  }
+  return left_ms;
+}
+
 double admission_queue::ExpectedBacklogMs(time_point now) const {
   const double slot_ms =
       mean_service_ms_ * static_cast<double>(Queued() + 1) / std::max<double>(1, slots_);
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -72,6 +72,12 @@
   member_record target;
 };
 
+cost_key CostKeyOf(const call_state& call) {
+  return {call.matched_route->name,
+          call.caller_workspace == nullptr ? std::string() : call.caller_workspace->name,
+          call.body.size()};
+}
+
 /// A local response to a request that may have run.
 local_response UnknownResponse(const call_state& call, error failure) {
   const unsigned status = Now() >= call.deadline ? kGatewayTimeout : kBadGateway;
@@ -96,6 +102,7 @@
   const document& content = call.document->content;
   deps_.budget.OnFirstAttempt(call.service, content.retry_budget, call.started);
   selection_context context = MakeSelectionContext();
+  context.cost = deps_.loads.Costs().Estimate(CostKeyOf(call));
   attempt_state state{.attempts_made = 0};
   std::size_t crashes = 0;
   std::optional<deferred_failure> deferred;
@@ -234,7 +241,11 @@
   }
   const auto text = response[kLoadHeader];
   const auto load = ParseLoad({text.data(), text.size()});
-  if (load) deps_.loads.OnLoadReport(target.vm, call.matched_route->traffic_class, *load, Now());
+  if (!load) return;
+  deps_.loads.OnLoadReport(target.vm, call.matched_route->traffic_class, *load, Now());
+  if (attempt.outcome == attempt_outcome::kResponded) {
+    deps_.loads.OnWork(target.vm, CostKeyOf(call), *load);
+  }
 }
 
 asio::awaitable<bool> call_dispatcher::DeliverResponse(entry_worker_state& worker,
--- a/src/proxy/internal/call_headers.cc
+++ b/src/proxy/internal/call_headers.cc
@@ -34,8 +34,11 @@
 }
 
 std::string FormatLoad(const reported_load& load) {
-  return std::to_string(load.in_use) + "," + std::to_string(load.slots) + "," +
-         std::to_string(load.queued) + "," + std::to_string(load.service_ms);
+  std::string text = std::to_string(load.in_use) + "," + std::to_string(load.slots) + "," +
+                     std::to_string(load.queued) + "," + std::to_string(load.service_ms);
+  if (load.pace_percent == 0) return text;
+  return text + "," + std::to_string(load.pace_percent) + "," + std::to_string(load.work_left_ms) +
+         "," + std::to_string(load.work_ms);
 }
 
 std::optional<reported_load> ParseLoad(std::string_view text) {
@@ -44,7 +47,13 @@
   const auto queued = ParseNextInteger(text);
   const auto service_ms = ParseNextInteger(text);
   if (!in_use || !slots || !queued || !service_ms) return std::nullopt;
-  return reported_load{*in_use, *slots, *queued, *service_ms};
+  return reported_load{*in_use,
+                       *slots,
+                       *queued,
+                       *service_ms,
+                       ParseNextInteger(text).value_or(0),
+                       ParseNextInteger(text).value_or(0),
+                       ParseNextInteger(text).value_or(0)};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -425,6 +425,7 @@
     keep_open = keep_open && body_sent;
     if (!head.failed) {
       ApplyLimit(call, parser->get());
+      slots_->OnTargetPace(PaceOf(parser->get(), settings_.conventions));
       if (IsLeavingResponse(parser->get(), settings_.conventions)) EndNewRequests(call.instance);
     }
     if (!head.failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
@@ -465,7 +466,7 @@
     const auto processing_time = std::chrono::duration_cast<milliseconds>(Now() - received_at);
     const bool reusable = parser->keep_alive();
     const milliseconds idle_timeout = PeerIdleTimeout(parser->get());
-    PrepareResponse(*parser, call.route, keep_open);
+    PrepareResponse(*parser, call.route, processing_time, keep_open);
     transfer_outcome transfer = transfer_outcome::kComplete;
     if (is_head) {
       transfer = co_await SendHeader(entry, *parser);
@@ -569,14 +570,17 @@
     co_return failed ? transfer_outcome::kWriteFailed : transfer_outcome::kComplete;
   }
 
-  void PrepareResponse(response_parser& parser, const std::string& route, bool keep_open) const {
+  void PrepareResponse(response_parser& parser, const std::string& route, milliseconds work,
+                       bool keep_open) const {
     response_message& message = parser.get();
     const bool lacks_length = parser.need_eof();
     RemoveHopByHop(message);
     RemoveMeshHeaders(message);
     if (lacks_length) message.chunked(true);
     message.set(kOutcomeHeader, kOutcomeRan);
-    message.set(kLoadHeader, FormatLoad(slots_->Load(route)));
+    reported_load load = slots_->Load(route);
+    load.work_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, work.count()));
+    message.set(kLoadHeader, FormatLoad(load));
     message.version(11);
     message.keep_alive(keep_open);
   }
--- a/src/proxy/internal/slot_controller.cc
+++ b/src/proxy/internal/slot_controller.cc
@@ -14,6 +14,11 @@
 // Roughly the duration of one request; no slot becomes free sooner.
 constexpr milliseconds kMinRetryAfter{100};
 
+/// Weight of one report in the moving average of the pace, as that of one response in the service
+/// times of the queue.
+constexpr double kPaceWeight = 0.1;
+constexpr double kPercent = 100;
+
 }  // namespace
 
 slot_controller::lease::lease(std::shared_ptr<slot_controller> owner, std::string route)
@@ -98,6 +103,8 @@
 void slot_controller::ResetRateLimit() {
   const std::lock_guard<std::mutex> lock(mutex_);
   queue_.RateLimit().Reset();
+  pace_percent_ = 0;
+  mean_pace_ = 1;
   WakeWaiters(queue_.Advance(Now()));
 }
 
@@ -131,10 +138,21 @@
                   milliseconds(static_cast<std::int64_t>(queue_.ExpectedBacklogMs(Now()))));
 }
 
+void slot_controller::OnTargetPace(std::uint32_t percent) {
+  if (percent == 0) return;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  pace_percent_ = percent;
+  mean_pace_ += kPaceWeight * (percent / kPercent - mean_pace_);
+}
+
 reported_load slot_controller::Load(const std::string& route) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return {queue_.InUse(), queue_.UsableSlots(), queue_.Queued(),
-          static_cast<std::uint32_t>(queue_.MeanServiceMs(route))};
+  reported_load load{queue_.InUse(), queue_.UsableSlots(), queue_.Queued(),
+                     static_cast<std::uint32_t>(queue_.MeanServiceMs(route)), pace_percent_};
+  if (pace_percent_ > 0) {
+    load.work_left_ms = static_cast<std::uint32_t>(queue_.ExpectedWorkLeftMs() / mean_pace_);
+  }
+  return load;
 }
 
 void slot_controller::Finish(const std::string& route, milliseconds service_time) {
--- a/src/proxy/internal/slot_controller.h
+++ b/src/proxy/internal/slot_controller.h
@@ -71,6 +71,9 @@
   /// The request rate limit in force; nothing if there is none.
   std::optional<double> RateLimit() const;
 
+  /// Records the pace that the target stated, in per cent of the usual time that work takes.
+  void OnTargetPace(std::uint32_t percent);
+
   /// Current load, reported to entries with a response of the route.
   reported_load Load(const std::string& route) const;
 
@@ -91,6 +94,9 @@
   mutable std::mutex mutex_;
   std::optional<time_point> scheduled_start_;
   admission_queue queue_;
+  std::uint32_t pace_percent_ = 0;
+  /// Moving average of the pace, by which service times are converted to the usual pace.
+  double mean_pace_ = 1;
   std::uint64_t last_ticket_ = 0;
   std::map<std::uint64_t, waiting_request_ptr> waiters_;
 };
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -1,5 +1,6 @@
 #include "proxy/internal/target_responses.h"
 
+#include <algorithm>
 #include "framework/logging/log.h"
 
 namespace catkinmoor::proxy_internal {
@@ -51,6 +52,21 @@
                          response.find(conventions.not_executed_header) != response.end());
 }
 
+std::uint32_t PaceOf(const response_message& response, const http_conventions& conventions) {
+  constexpr int kFiguresBefore = 3;
+  constexpr std::int64_t kMaxPercent = 100'000;
+  if (conventions.target_load_header.empty()) return 0;
+  const auto value = response[conventions.target_load_header];
+  std::string_view text(value.data(), value.size());
+  for (int i = 0; i < kFiguresBefore; ++i) {
+    const auto comma = text.find(',');
+    if (comma == std::string_view::npos) return 0;
+    text.remove_prefix(comma + 1);
+  }
+  const std::int64_t percent = ParseInteger(text.substr(0, text.find(','))).value_or(0);
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(percent, 0, kMaxPercent));
+}
+
 std::optional<double> LimitOf(const response_message& response, const http_conventions& conventions,
                               std::optional<double> present) {
   if (conventions.limit_header.empty()) return std::nullopt;
--- a/src/proxy/internal/target_responses.h
+++ b/src/proxy/internal/target_responses.h
@@ -22,6 +22,10 @@
                                                       bool is_head, time_point deadline,
                                                       response_read_context context);
 
+/// The time that work takes on the target's machine at the moment, in per cent of the usual; 0 if
+/// the response does not state it.
+std::uint32_t PaceOf(const response_message& response, const http_conventions& conventions);
+
 /// Whether a target's response states that it has not run the request.
 bool IsNotRunResponse(const response_message& response, const http_conventions& conventions);
 
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -34,6 +34,10 @@
   std::string key_scheme;
   /// Workspace of the caller, sent to targets.
   std::string workspace_header;
+  /// On responses of targets: running and waiting requests, slots and, as an optional fourth
+  /// figure, the time that work takes on the target's machine at the moment in per cent of the
+  /// usual.
+  std::string target_load_header;
   /// Whether targets echo the request id in their responses, which reveals a response to another
   /// request.
   bool targets_echo_request_ids = false;
--- a/src/routing/internal/load_board.cc
+++ b/src/routing/internal/load_board.cc
@@ -18,10 +18,21 @@
 constexpr std::uint32_t kMaxEjectionDoublings = 4;
 constexpr std::uint64_t kIdentityHashSeed = 6;
 
+/// Weight of one response in the moving average of a target's relative work time, and its limits. A
+/// single request of a heavy tail says little about its target.
+constexpr double kRelativeWorkWeight = 0.05;
+constexpr double kMinRelativeWork = 0.25;
+constexpr double kMaxRelativeWork = 4;
+constexpr double kPercent = 100;
+
 }  // namespace
 
 void load_board::OnRequestStarted(const std::string& vm) {
-  loads_.WithShard(vm, [&](auto& entries) { return ++entries[vm].outstanding; });
+  loads_.WithShard(vm, [&](auto& entries) {
+    target_load& load = entries[vm];
+    ++load.sent_since_report;
+    return ++load.outstanding;
+  });
 }
 
 void load_board::OnRequestEnded(const std::string& vm) {
@@ -38,6 +49,7 @@
     target_load& entry = entries[vm];
     entry.reported = load;
     entry.reported_at = now;
+    entry.sent_since_report = 0;
     if (load.service_ms > 0) entry.service_ms[static_cast<std::size_t>(kind)] = load.service_ms;
     return 0;
   });
@@ -53,6 +65,21 @@
   });
 }
 
+void load_board::OnWork(const std::string& vm, const cost_key& key, const reported_load& load) {
+  if (load.pace_percent == 0 || load.work_ms == 0) return;
+  const double pace = load.pace_percent / kPercent;
+  const cost_estimate expected = costs_.Estimate(key);
+  costs_.OnResponse(key, milliseconds(load.work_ms), pace);
+  if (expected.samples == 0 || expected.mean_ms <= 0) return;
+  const double ratio =
+      std::clamp(load.work_ms / (pace * expected.mean_ms), kMinRelativeWork, kMaxRelativeWork);
+  loads_.WithShard(vm, [&](auto& entries) {
+    double& relative_work = entries[vm].relative_work;
+    relative_work += kRelativeWorkWeight * (ratio - relative_work);
+    return 0;
+  });
+}
+
 double FailureRatio(const target_load& load, time_point now) {
   const std::chrono::duration<double> age = now - load.failure_ratio_at;
   return load.failure_ratio * std::exp2(-age / kFailureHalfLife);
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -44,6 +44,8 @@
 constexpr double kValueWithoutObjectiveMs = 600;
 /// Standard deviation of the logarithm of response times.
 constexpr double kResponseSpread = 0.65;
+/// The wait for a slot and the network spread response times further than the cost does.
+constexpr double kMinResponseSpread = 0.4;
 
 /// Service time assumed for a target that has not reported one yet.
 constexpr double kDefaultServiceMs = 100;
@@ -54,6 +56,12 @@
 /// Relative random variation of expected response times.
 constexpr double kResponseMsJitter = 0.08;
 
+/// Half-life of a reported pace.
+constexpr std::chrono::duration<double> kPaceHalfLife{0.5};
+constexpr double kMinPace = 0.1;
+/// Samples from which on a cost estimate is used.
+constexpr double kMinCostSamples = 5;
+
 bool HasLabels(const label_map& present, const label_map& wanted) {
   return std::all_of(wanted.begin(), wanted.end(), [&](const auto& each) {
     const auto found = present.find(each.first);
@@ -96,6 +104,37 @@
          (UsableSlots(member, load) * SlowStartShare(member, content, context));
 }
 
+/// How much longer work takes on the target's machine now than usual. A reported pace changes many
+/// times a second, so that an old one says little.
+double ExpectedPace(const target_load& load, time_point now) {
+  const std::chrono::duration<double> age = now - load.reported_at;
+  const double reported = load.reported.pace_percent / 100.0;
+  return 1 + (reported - 1) * std::exp2(-std::max(0.0, age / kPaceHalfLife));
+}
+
+/// The expected response time by the cost of the request and the work that the target still has to
+/// do: what it reported, less what its slots have done since, and what was sent to it since.
+double ExpectedResponseByCostMs(const member_record& member, const target_load& load,
+                                const document& content, const selection_context& context) {
+  const double slots = UsableSlots(member, load) * SlowStartShare(member, content, context);
+  const double pace = std::max(kMinPace, ExpectedPace(load, context.now));
+  const double own_ms = context.cost.mean_ms * load.relative_work;
+  const std::chrono::duration<double, std::milli> age = context.now - load.reported_at;
+  const double done_ms = slots * std::max(0.0, age.count()) / pace;
+  const double sent_ms = load.sent_since_report * own_ms;
+  const double left_ms = std::max(0.0, load.reported.work_left_ms + sent_ms - done_ms);
+  // The slots are free as long as the work that is left fits them at one request each.
+  const double requests = load.reported.in_use + load.reported.queued + load.sent_since_report;
+  const double wait_ms = requests < slots ? 0 : left_ms / slots;
+  const double utilisation = std::min(1.0, requests / slots);
+  const double slowdown = kFullLoadSlowdown * utilisation * utilisation;
+  return kRoundTripMs[DistanceOf(member, context)] + pace * (wait_ms + own_ms * (1 + slowdown));
+}
+
+bool KnowsCost(const target_load& load, const selection_context& context) {
+  return load.reported.pace_percent > 0 && context.cost.samples >= kMinCostSamples;
+}
+
 /// The expected response time in milliseconds: the round trip, the service time of the target, and
 /// the wait for a slot.
 double ExpectedResponseMs(const member_record& member, const target_load& load,
@@ -117,10 +156,9 @@
 
 /// The probability that a response takes longer than the time left for it, given its expected time.
 /// Response times are taken to be distributed log-normally.
-double LateRisk(double expected_ms, double left_ms) {
+double LateRisk(double expected_ms, double left_ms, double spread) {
   if (left_ms <= 0) return 1;
-  const double deviations =
-      (std::log(left_ms / expected_ms) + kResponseSpread * kResponseSpread / 2) / kResponseSpread;
+  const double deviations = (std::log(left_ms / expected_ms) + spread * spread / 2) / spread;
   return std::erfc(deviations / std::sqrt(2.0)) / 2;
 }
 
@@ -131,12 +169,17 @@
                        const load_board& loads, double jitter) {
   const target_load load = loads.Get(member.vm);
   const route_class kind = chosen_route.traffic_class;
-  const double expected_ms = jitter * ExpectedResponseMs(member, load, content, kind, context);
+  const bool by_cost = KnowsCost(load, context);
+  const double expected_ms =
+      jitter * (by_cost ? ExpectedResponseByCostMs(member, load, content, context)
+                        : ExpectedResponseMs(member, load, content, kind, context));
+  const double spread =
+      by_cost ? std::max(kMinResponseSpread, context.cost.spread) : kResponseSpread;
   const auto objective_ms = static_cast<double>(chosen_route.latency_objective.count());
   const bool has_objective = objective_ms > 0;
   const double left_ms = objective_ms - static_cast<double>(context.spent.count());
   const double value_ms = has_objective ? objective_ms / kDurationCost : kValueWithoutObjectiveMs;
-  const double late_cost = has_objective ? kLateCost * LateRisk(expected_ms, left_ms) : 0;
+  const double late_cost = has_objective ? kLateCost * LateRisk(expected_ms, left_ms, spread) : 0;
   const double failure_cost = kFailureCost * FailureRatio(load, context.now);
   const double transfer_cost =
       kTransferCost[static_cast<std::size_t>(kind)][DistanceOf(member, context)];
--- a/src/routing/load_board.h
+++ b/src/routing/load_board.h
@@ -9,6 +9,7 @@
 #include "framework/base/clock.h"
 #include "framework/base/sharded_map.h"
 #include "membership/member.h"
+#include "routing/request_cost.h"
 
 namespace catkinmoor {
 
@@ -19,6 +20,13 @@
   std::uint32_t queued = 0;
   /// Mean service time of the target for the route of the response; 0 when unknown.
   std::uint32_t service_ms = 0;
+  /// Time that work takes on the target's machine at the moment, in per cent of the usual; 0 when
+  /// the target does not state it. The next two are reported only with it.
+  std::uint32_t pace_percent = 0;
+  /// Expected work left in all requests that run or wait, in milliseconds at the usual pace.
+  std::uint32_t work_left_ms = 0;
+  /// Time for which the target worked on the request of the response; 0 for a refusal.
+  std::uint32_t work_ms = 0;
 
   friend bool operator==(const reported_load&, const reported_load&) = default;
 };
@@ -28,6 +36,10 @@
   std::uint32_t outstanding = 0;
   reported_load reported;
   time_point reported_at{};
+  /// Requests sent since the report.
+  std::uint32_t sent_since_report = 0;
+  /// Work time of the target relative to the average of its service at the same pace and cost.
+  double relative_work = 1;
   /// Mean service time by route class as last reported, in milliseconds; 0 when unknown.
   std::array<double, kRouteClassCount> service_ms{};
   /// Moving average of the share of failures among responses, as of failure_ratio_at. It decays
@@ -60,6 +72,13 @@
   void OnLoadReport(const std::string& vm, route_class kind, const reported_load& load,
                     time_point now);
 
+  /// Learns from a response that reports the target's pace: what requests of this key cost, and how
+  /// the target compares with the others of its service.
+  void OnWork(const std::string& vm, const cost_key& key, const reported_load& load);
+
+  /// What requests are expected to cost.
+  const request_cost_model& Costs() const { return costs_; }
+
   /// Records that a vm could not be reached or lost its connection, and ejects it from target
   /// selection. The time doubles with each consecutive failure up to a maximum.
   void OnConnectionFailure(const std::string& vm, time_point now);
@@ -89,6 +108,7 @@
 
   mutable sharded_map<std::string, target_load> loads_;
   mutable sharded_map<std::string, named_limit> limits_;
+  request_cost_model costs_;
 };
 
 }  // namespace catkinmoor
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -21,6 +21,8 @@
   std::uint64_t wall_ms = 0;
   /// Time since the request arrived, which counts towards the route's latency objective.
   milliseconds spent{0};
+  /// What the request is expected to cost; without samples the selection goes by route class.
+  cost_estimate cost = {};
 };
 
 /// The targets that a split of a document's route may use: announced for the service, ready, in the
