Run pipelined requests concurrently and answer them in their order

Cause: one coroutine served a connection, so that a request behind another was read only after that one's response; the watch for a caller that leaves could not see it behind unread bytes.

Change: one reader per connection reads heads, detects that the caller leaves, and starts a coroutine for each request, which waits for its turn before it writes. response_order (pure) keeps the turns: at most 16 unanswered requests and 64 KB of heads on a connection. A request that is not repeatable starts only when all before it are answered on a connection that stays open; so does one with a body, which is not read ahead of. A caller that leaves and a response that closes the connection cancel everything behind. New counter catkinmoor_entry_pipelined_total.

The new tests were not run on the code before.

--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -455,3 +455,166 @@
   }
   Require(invalid_heads == 0);
 }
+
+namespace {
+
+std::string GetRequest(const std::string& path, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: slotboard\r\n" + headers + "\r\n";
+}
+
+std::string EmptyPost(const std::string& path) {
+  return "POST " + path + " HTTP/1.1\r\nHost: slotboard\r\nContent-Length: 0\r\n\r\n";
+}
+
+scripted_target::response TextResponse(const std::string& text) {
+  return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+          true};
+}
+
+/// The positions of texts in another, in their order; empty if one is missing.
+bool OccurInOrder(const std::string& text, const std::vector<std::string>& parts) {
+  std::size_t from = 0;
+  for (const std::string& each : parts) {
+    from = text.find(each, from);
+    if (from == std::string::npos) return false;
+    from += each.size();
+  }
+  return true;
+}
+
+}  // namespace
+
+// Guards against requests that wait for the response to the one before them: the first is answered
+// only once the last has reached the target.
+Test(wire, with_pipelined_repeatable_requests_runs_them_concurrently) {
+  fleet subject({.subnet = 224, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> arrived = 0;
+  const scripted_target target(address, [&](const std::string& head) {
+    const std::string path = PathOf(head);
+    ++arrived;
+    if (path == "/first") {
+      const auto end = catkinmoor::Now() + catkinmoor::milliseconds(2'500);
+      while (arrived < 3 && catkinmoor::Now() < end) catkinmoor::SleepBetweenPolls();
+      return TextResponse(arrived == 3 ? "first-concurrent" : "first-alone");
+    }
+    return TextResponse(path);
+  });
+  StartWithDocument(subject);
+  const std::string responses = SendRaw(
+      address, kEntryPort, GetRequest("/first") + GetRequest("/second") + GetRequest("/third"));
+  Require(OccurInOrder(responses, {"first-concurrent", "/second", "/third"}), responses);
+}
+
+// Guards against a request that must not run twice and runs beside or before those ahead of it.
+Test(wire, with_a_pipelined_request_that_is_not_repeatable_runs_it_in_its_turn) {
+  fleet subject({.subnet = 228, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<bool> first_answered = false;
+  const scripted_target target(address, [&](const std::string& head) {
+    const std::string path = PathOf(head);
+    if (path == "/first") {
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      first_answered = true;
+    }
+    if (path == "/holds/1" || path == "/holds/2") {
+      return TextResponse(first_answered ? path + "-after" : path + "-too-early");
+    }
+    return TextResponse(path);
+  });
+  StartWithDocument(subject);
+  const std::string with_body =
+      "POST /holds/2 HTTP/1.1\r\nHost: slotboard\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string responses =
+      SendRaw(address, kEntryPort,
+              GetRequest("/first") + EmptyPost("/holds/1") + with_body + GetRequest("/last"));
+  Require(OccurInOrder(responses, {"/first", "/holds/1-after", "/holds/2-after", "/last"}),
+          responses);
+}
+
+// Guards against requests that run, or are answered, behind a response that closes the connection:
+// the caller takes them as not read and sends them again.
+Test(wire, with_requests_behind_a_response_that_closes_neither_runs_nor_answers_them) {
+  fleet subject({.subnet = 232, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> posts = 0;
+  const scripted_target target(address, [&](const std::string& head) {
+    if (head.rfind("POST ", 0) == 0) ++posts;
+    const std::string path = PathOf(head);
+    // Cut within the body, so that the connection to the caller is reset.
+    if (path == "/cut") {
+      return scripted_target::response{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", false,
+                                       100};
+    }
+    return TextResponse(path);
+  });
+  StartWithDocument(subject);
+  for (const std::string& first :
+       {GetRequest("/cut"), GetRequest("/one", "Connection: close\r\n")}) {
+    const std::string responses = SendRaw(
+        address, kEntryPort, first + GetRequest("/behind") + EmptyPost("/holds/1") + "BAD\r\n\r\n");
+    Require(responses.find("/behind") == std::string::npos, responses);
+    Require(responses.find("HTTP/1.1 400") == std::string::npos, responses);
+  }
+  Require(subject.SendToEntry(address, "GET", "/after").body == "/after");
+  Require(posts == 0, std::to_string(posts.load()));
+}
+
+// Guards against a head that is no request being answered ahead of the requests before it.
+Test(wire, with_a_malformed_request_behind_others_answers_it_last) {
+  fleet subject({.subnet = 236, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const scripted_target target(address, [&](const std::string& head) {
+    scripted_target::response response = TextResponse(PathOf(head));
+    response.delay_ms = 200;
+    return response;
+  });
+  StartWithDocument(subject);
+  const std::string responses =
+      SendRaw(address, kEntryPort, GetRequest("/first") + "Bad Header\r\n\r\n");
+  Require(OccurInOrder(responses, {"/first", "HTTP/1.1 400"}), responses);
+}
+
+// Guards against calls that go on for a caller that has left.
+Test(wire, with_a_caller_that_leaves_cancels_all_its_pipelined_requests) {
+  fleet subject({.subnet = 240, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const scripted_target target(address, [&](const std::string&) {
+    return scripted_target::response{.bytes = "HTTP/1.1 200 OK\r\n\r\n",
+                                     .repeated = std::string(1'024, 'x')};
+  });
+  StartWithDocument(subject, SlotboardDocument(30'000));
+  {
+    raw_connection caller(address, kEntryPort);
+    for (int i = 0; i < 4; ++i) caller.Send(GetRequest("/" + std::to_string(i)));
+    catkinmoor::WaitUntil("all requests at the target", [&] { return target.Requests() == 4; });
+  }
+  catkinmoor::WaitUntil("the end of all responses",
+                        [&] { return target.EndlessResponsesClosed() == 4; });
+}
+
+// Guards against a caller that makes a daemon run any number of requests at a time.
+Test(wire, with_many_pipelined_requests_bounds_those_that_run_at_a_time) {
+  fleet subject({.subnet = 244, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> running = 0;
+  std::atomic<int> most = 0;
+  const scripted_target target(address, [&](const std::string& head) {
+    const int now = ++running;
+    int seen = most;
+    while (seen < now && !most.compare_exchange_weak(seen, now)) continue;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    --running;
+    return TextResponse(PathOf(head));
+  });
+  StartWithDocument(subject);
+  std::string requests;
+  std::vector<std::string> bodies;
+  for (int i = 100; i < 160; ++i) {
+    bodies.push_back("\r\n\r\n/" + std::to_string(i));
+    requests += GetRequest("/" + std::to_string(i));
+  }
+  const std::string responses = SendRaw(address, kEntryPort, requests);
+  Require(OccurInOrder(responses, bodies), responses);
+  Require(most > 1 && most <= 16, std::to_string(most.load()));
+}
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -62,8 +62,8 @@
 }
 
 asio::awaitable<attempt_result> attempt_sender::MakeAttempt(
-    entry_worker_state& worker, connection& caller, request_parser& parser, const call_state& call,
-    member_record target, std::string attempt_id) {
+    entry_worker_state& worker, caller_session& caller, request_parser& parser,
+    const call_state& call, member_record target, std::string attempt_id) {
   attempt_result attempt;
   attempt.gate = worker.pool.TakeIdle(target.gate, settings_.idle_timeout);
   if (attempt.gate == nullptr) {
@@ -220,7 +220,7 @@
   // caller of this function still reads.
 }
 
-asio::awaitable<void> attempt_sender::SendStreaming(connection& caller, request_parser& parser,
+asio::awaitable<void> attempt_sender::SendStreaming(caller_session& caller, request_parser& parser,
                                                     const call_state& call,
                                                     const gate_call& to_gate,
                                                     attempt_result& attempt) {
@@ -248,19 +248,20 @@
   attempt.response.reset();
   attempt.body_consumed = true;
   if (call.expects_continue) {
-    const bool continue_sent = co_await SendContinue(caller, settings_.progress_timeout);
+    const bool continue_sent = co_await SendContinue(caller.Caller(), settings_.progress_timeout);
     if (!continue_sent) {
       attempt.caller_disconnected = true;
       Abort(*attempt.gate);
       co_return;
     }
   }
-  attempt.upload =
-      std::make_shared<body_upload>(caller, parser, *attempt.gate, settings_.progress_timeout);
+  attempt.upload = std::make_shared<body_upload>(caller.Caller(), parser, *attempt.gate,
+                                                 settings_.progress_timeout);
   attempt.upload->StartBody(call.body);
 }
 
-asio::awaitable<void> attempt_sender::ReadGateResponse(connection& caller, const call_state& call,
+asio::awaitable<void> attempt_sender::ReadGateResponse(caller_session& caller,
+                                                       const call_state& call,
                                                        attempt_result& attempt) {
   auto parser = std::make_unique<response_parser>();
   parser->body_limit(boost::none);
@@ -269,8 +270,13 @@
   bool caller_gone = false;
   http::head_result head;
   {
-    std::optional<disconnect_watch> watch;
+    std::optional<cancel_on_close> watch;
     if (!call.streams_body) {
+      if (caller.IsClosed()) {
+        Abort(*attempt.gate);
+        attempt.caller_disconnected = true;
+        co_return;
+      }
       watch.emplace(caller, [&] {
         caller_gone = true;
         attempt.gate->stream.cancel();
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -2,6 +2,7 @@
 
 #include "peer/peer_transport.h"
 #include "proxy/entry_proxy.h"
+#include "proxy/internal/entry/caller_session.h"
 #include "proxy/internal/entry_call.h"
 #include "proxy/internal/stop_limits.h"
 
@@ -20,7 +21,7 @@
                                           time_point sent_at, bool except_waiting,
                                           milliseconds time_left);
 
-  asio::awaitable<attempt_result> MakeAttempt(entry_worker_state& worker, connection& caller,
+  asio::awaitable<attempt_result> MakeAttempt(entry_worker_state& worker, caller_session& caller,
                                               request_parser& parser, const call_state& call,
                                               member_record target, std::string attempt_id);
 
@@ -52,12 +53,12 @@
 
   /// Sends the header of a request whose body is not buffered with "Expect: 100-continue", and
   /// streams the body once the gate asks for it.
-  asio::awaitable<void> SendStreaming(connection& caller, request_parser& parser,
+  asio::awaitable<void> SendStreaming(caller_session& caller, request_parser& parser,
                                       const call_state& call, const gate_call& to_gate,
                                       attempt_result& attempt);
 
   /// Reads the header of the gate's response. Leaves the attempt's response empty if none arrived.
-  asio::awaitable<void> ReadGateResponse(connection& caller, const call_state& call,
+  asio::awaitable<void> ReadGateResponse(caller_session& caller, const call_state& call,
                                          attempt_result& attempt);
 
   /// Sets the outcome of an attempt from its response, which is the target's or the gate's own.
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -91,7 +91,7 @@
   return load.service_ms[traffic_class] > static_cast<double>(TimeLeft(call).count());
 }
 
-asio::awaitable<bool> call_dispatcher::Dispatch(entry_worker_state& worker, connection& caller,
+asio::awaitable<bool> call_dispatcher::Dispatch(entry_worker_state& worker, caller_session& caller,
                                                 request_parser& parser, call_state& call) {
   const document& content = call.document->content;
   deps_.budget.OnFirstAttempt(call.service, content.retry_budget, call.started);
@@ -121,7 +121,8 @@
     }
     context.tried_vms.insert(target->vm);
     // The caller may have disconnected before its request was read or between two attempts.
-    if (!call.streams_body && IsClosed(caller)) {
+    const bool caller_left = caller.IsClosed() || IsClosed(caller.Caller());
+    if (!call.streams_body && caller_left) {
       CountMetric("catkinmoor_callers_gone_total", call);
       co_return false;
     }
@@ -237,11 +238,16 @@
   if (load) deps_.loads.OnLoadReport(target.vm, call.matched_route->traffic_class, *load, Now());
 }
 
-asio::awaitable<bool> call_dispatcher::DeliverResponse(entry_worker_state& worker,
-                                                       connection& caller, request_parser& parser,
-                                                       call_state& call, selection_context context,
-                                                       member_record target,
-                                                       attempt_result attempt) {
+asio::awaitable<bool> call_dispatcher::DeliverResponse(
+    entry_worker_state& worker, caller_session& caller, request_parser& parser, call_state& call,
+    selection_context context, member_record target, attempt_result attempt) {
+  const bool has_turn = co_await caller.AwaitTurn(call.turn);
+  if (!has_turn) {
+    CountMetric("catkinmoor_callers_gone_total", call);
+    Abort(*attempt.gate);
+    if (attempt.upload != nullptr) co_await attempt.upload->Stop();
+    co_return false;
+  }
   response_parser& response = *attempt.response;
   const bool reusable = response.keep_alive();
   const bool uploads = attempt.upload != nullptr && !attempt.upload->IsComplete();
@@ -257,12 +263,12 @@
   response_writer writer(message);
   transfer_outcome transfer = transfer_outcome::kComplete;
   if (call.is_head) {
-    caller.stream.expires_after(settings_.progress_timeout);
+    caller.Caller().stream.expires_after(settings_.progress_timeout);
     auto [failed, count] =
-        co_await bhttp::async_write_header(caller.stream, writer.serializer, kAwait);
+        co_await bhttp::async_write_header(caller.Caller().stream, writer.serializer, kAwait);
     if (failed) transfer = transfer_outcome::kWriteFailed;
   } else {
-    transfer = co_await TransferResponse(*attempt.gate, response, caller, writer,
+    transfer = co_await TransferResponse(*attempt.gate, response, caller.Caller(), writer,
                                          settings_.progress_timeout);
   }
   const bool first_target_intact = transfer != transfer_outcome::kReadFailed;
@@ -274,14 +280,14 @@
   const bool body_sent = attempt.upload == nullptr || attempt.upload->IsComplete();
   if (transfer != transfer_outcome::kComplete) {
     Abort(*attempt.gate);
-    Abort(caller);
+    Abort(caller.Caller());
     if (!body_sent) co_await attempt.upload->Stop();
     co_return false;
   }
   if (!body_sent) {
     // The target may still read the body that it has responded to.
     co_await attempt.upload->Finish(kMaxUploadPause, call.deadline);
-    co_await CloseAfterUnreadBody(caller);
+    co_await CloseAfterUnreadBody(caller.Caller());
     co_return false;
   }
   if (reusable && first_target_intact) {
@@ -301,7 +307,7 @@
 }
 
 asio::awaitable<transfer_outcome> call_dispatcher::Resume(entry_worker_state& worker,
-                                                          connection& caller,
+                                                          caller_session& caller,
                                                           request_parser& parser, call_state& call,
                                                           selection_context context,
                                                           response_writer& writer) {
@@ -327,7 +333,7 @@
     if (attempt.caller_disconnected) co_return transfer_outcome::kWriteFailed;
     if (!IsContinuation(attempt, call)) continue;
     CountMetric("catkinmoor_resumed_downloads_total", call);
-    transfer = co_await TransferResponse(*attempt.gate, *attempt.response, caller, writer,
+    transfer = co_await TransferResponse(*attempt.gate, *attempt.response, caller.Caller(), writer,
                                          settings_.progress_timeout);
   }
   co_return transfer;
@@ -342,18 +348,21 @@
          message[bhttp::field::content_range].starts_with(range_start);
 }
 
-asio::awaitable<bool> call_dispatcher::RespondLocally(connection& caller, request_parser& parser,
+asio::awaitable<bool> call_dispatcher::RespondLocally(caller_session& caller,
+                                                      request_parser& parser,
                                                       const call_state& call,
                                                       local_response response) {
   RecordRequest(call, response.status, response.outcome);
   LogLocalResponse(call, response);
   bool discarded = false;
   if (!call.expects_continue && !stop_.AttemptsEnded()) {
-    discarded = co_await DiscardBody(caller, parser, settings_.progress_timeout);
+    discarded = co_await DiscardBody(caller.Caller(), parser, settings_.progress_timeout);
   }
-  co_return co_await SendLocalResponse(caller, response, discarded && call.keep_alive && !draining_,
-                                       call.is_head, settings_.progress_timeout,
-                                       settings_.conventions.fractional_retry_after);
+  const bool has_turn = co_await caller.AwaitTurn(call.turn);
+  if (!has_turn) co_return false;
+  co_return co_await SendLocalResponse(
+      caller.Caller(), response, discarded && call.keep_alive && !draining_, call.is_head,
+      settings_.progress_timeout, settings_.conventions.fractional_retry_after);
 }
 
 metrics::labels call_dispatcher::MetricLabels(const call_state& call) {
--- a/src/proxy/internal/call_dispatcher.h
+++ b/src/proxy/internal/call_dispatcher.h
@@ -22,10 +22,10 @@
 
   /// Tries targets until a response can be delivered or no further attempt is allowed. Returns
   /// whether the caller's connection can be reused.
-  asio::awaitable<bool> Dispatch(entry_worker_state& worker, connection& caller,
+  asio::awaitable<bool> Dispatch(entry_worker_state& worker, caller_session& caller,
                                  request_parser& parser, call_state& call);
 
-  asio::awaitable<bool> RespondLocally(connection& caller, request_parser& parser,
+  asio::awaitable<bool> RespondLocally(caller_session& caller, request_parser& parser,
                                        const call_state& call, local_response response);
 
  private:
@@ -43,7 +43,7 @@
                   const attempt_result& attempt);
 
   /// Forwards a target's response to the caller.
-  asio::awaitable<bool> DeliverResponse(entry_worker_state& worker, connection& caller,
+  asio::awaitable<bool> DeliverResponse(entry_worker_state& worker, caller_session& caller,
                                         request_parser& parser, call_state& call,
                                         selection_context context, member_record target,
                                         attempt_result attempt);
@@ -55,7 +55,7 @@
                         const response_parser& response);
 
   /// Continues an interrupted response from other targets.
-  asio::awaitable<transfer_outcome> Resume(entry_worker_state& worker, connection& caller,
+  asio::awaitable<transfer_outcome> Resume(entry_worker_state& worker, caller_session& caller,
                                            request_parser& parser, call_state& call,
                                            selection_context context, response_writer& writer);
 
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -6,6 +6,7 @@
 
 #include "peer/messages.h"
 #include "proxy/internal/call_headers.h"
+#include "proxy/internal/entry/response_order.h"
 #include "proxy/internal/http_stream.h"
 #include "proxy/internal/wire/body_upload.h"
 #include "routing/retry_policy.h"
@@ -18,6 +19,8 @@
 
 /// State of a caller's request in the entry.
 struct call_state {
+  /// Place of the response in the order of the caller's connection.
+  response_order::ticket turn = 0;
   std::string request_id;
   std::string service;
   parsed_document_ptr document;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -150,32 +150,119 @@
   void StartServing(std::size_t worker, asio::ip::tcp::socket socket, listener_kind kind) {
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto caller = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+    auto caller = std::make_shared<caller_session>(
+        std::make_unique<connection>(beast::tcp_stream(std::move(socket))),
+        static_cast<std::size_t>(settings_.max_header_bytes));
     asio::co_spawn(workers_.Context(worker),
                    Serve(shared_from_this(), worker, std::move(caller), kind), asio::detached);
   }
 
+  /// A request of a caller from the reading of its head to its response.
+  struct caller_request {
+    request_parser parser;
+    call_state call;
+    /// Set if the request is refused before any target is asked.
+    std::optional<local_response> refusal;
+    std::optional<active_request> counted;
+
+    bool IsRepeatable() const {
+      return refusal || (call.matched_route != nullptr && call.matched_route->repeatable);
+    }
+  };
+  using caller_request_ptr = std::shared_ptr<caller_request>;
+
+  /// Reads the requests of one connection. Each runs in a coroutine of its own, so that further
+  /// ones are read and started meanwhile.
   static asio::awaitable<void> Serve(std::shared_ptr<impl> self, std::size_t worker,
-                                     connection_ptr caller, listener_kind kind) {
-    bool keep_open = true;
+                                     std::shared_ptr<caller_session> caller, listener_kind kind) {
     entry_worker_state& state = self->worker_states_[worker];
-    while (keep_open && !self->draining_) {
-      request_parser parser;
-      state.idle_callers.insert(caller.get());
-      const read_result read = co_await ReadRequestHeader(*caller, parser, self->settings_);
-      state.idle_callers.erase(caller.get());
-      if (read.outcome == read_outcome::kDisconnected) break;
-      if (read.outcome == read_outcome::kMalformed) {
-        self->deps_.metrics.IncrementCounter("catkinmoor_entry_malformed_total");
-        co_await SendLocalResponse(*caller, read.response, false, false,
-                                   self->settings_.progress_timeout);
-        break;
+    bool reads_on = true;
+    while (reads_on) {
+      co_await caller->AwaitNextRequest();
+      const bool stops = caller->IsEmpty() && self->draining_;
+      if (caller->IsClosed() || stops) break;
+      reads_on = co_await self->ReadRequest(state, caller, kind);
+    }
+    co_await caller->AwaitEmpty();
+    caller->End();
+  }
+
+  /// Reads one request and starts it. Returns false if no further request can be read.
+  asio::awaitable<bool> ReadRequest(entry_worker_state& worker,
+                                    std::shared_ptr<caller_session> caller, listener_kind kind) {
+    connection& from = caller->Caller();
+    const auto request = std::make_shared<caller_request>();
+    const bool is_idle = caller->IsEmpty();
+    if (is_idle) worker.idle_callers.insert(&from);
+    const read_result read = co_await ReadRequestHeader(from, request->parser, settings_);
+    worker.idle_callers.erase(&from);
+    if (read.outcome == read_outcome::kDisconnected) co_return false;
+    if (read.outcome == read_outcome::kMalformed) {
+      co_await caller->AwaitEmpty();
+      if (caller->IsClosed()) co_return false;
+      deps_.metrics.IncrementCounter("catkinmoor_entry_malformed_total");
+      co_await SendLocalResponse(from, read.response, false, false, settings_.progress_timeout);
+      co_return false;
+    }
+    request->counted.emplace(active_);
+    if (!is_idle) deps_.metrics.IncrementCounter("catkinmoor_entry_pipelined_total");
+    request->refusal = Prepare(request->parser, kind, request->call, worker.random);
+    request->call.turn = caller->Add(HeadBytes(request->parser.get()));
+    if (!request->call.keep_alive) caller->StopReading();
+    if (!request->parser.is_done()) {
+      // A body can be read, and its "100 Continue" be sent, only once all before are answered.
+      if (!is_idle) caller->Watch();
+      const bool has_turn = co_await caller->AwaitTurn(request->call.turn);
+      caller->Unwatch();
+      if (!has_turn) {
+        caller->Finish(request->call.turn, false);
+        co_return false;
+      }
+      RestartClock(request->call);
+      const bool keeps = co_await ReadShortBody(worker, from, *request);
+      if (!keeps) {
+        caller->Finish(request->call.turn, false);
+        co_return false;
       }
-      const active_request counted(self->active_);
-      keep_open = co_await self->HandleRequest(state, *caller, parser, kind);
     }
-    beast::error_code ignored;
-    caller->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    const bool body_unread = !request->parser.is_done();
+    asio::co_spawn(from.stream.get_executor(), Run(shared_from_this(), &worker, caller, request),
+                   asio::detached);
+    // The coroutine of the request reads the rest of the body.
+    if (body_unread) co_await caller->AwaitFinished(request->call.turn);
+    co_return true;
+  }
+
+  static std::size_t HeadBytes(const request_message& message) {
+    std::size_t bytes = message.target().size();
+    for (const auto& field : message) bytes += field.name_string().size() + field.value().size();
+    return bytes;
+  }
+
+  /// Lets the time of a request that waited for its turn count from now, as if it had been read
+  /// now.
+  static void RestartClock(call_state& call) {
+    const time_point now = Now();
+    call.deadline += now - call.started;
+    call.started = now;
+  }
+
+  /// Runs a request whose head, and short body, have been read.
+  static asio::awaitable<void> Run(std::shared_ptr<impl> self, entry_worker_state* worker,
+                                   std::shared_ptr<caller_session> caller,
+                                   caller_request_ptr request) {
+    const response_order::ticket turn = request->call.turn;
+    bool may_run = true;
+    if (!request->IsRepeatable()) {
+      // Not run behind a response that closes the connection: the caller would send it again.
+      may_run = co_await caller->AwaitTurn(turn);
+      if (may_run) RestartClock(request->call);
+    }
+    bool keep_open = false;
+    if (may_run) keep_open = co_await self->HandleRequest(*worker, *caller, *request);
+    // A request that ends without a response must not end those before it.
+    co_await caller->AwaitTurn(turn);
+    caller->Finish(turn, keep_open);
   }
 
   /// Matches a request to a route and fills the call's state. Returns the response if the request
@@ -284,31 +371,39 @@
                                          call.body, settings_.progress_timeout);
   }
 
-  asio::awaitable<bool> HandleRequest(entry_worker_state& worker, connection& caller,
-                                      request_parser& parser, listener_kind kind) {
-    call_state call;
-    if (auto refused = Prepare(parser, kind, call, worker.random)) {
-      co_return co_await dispatcher_.RespondLocally(caller, parser, call, std::move(*refused));
-    }
-    const auto length = parser.content_length();
+  /// Reads a body that is short enough to be sent again; the rest of a longer one is streamed.
+  /// Returns false if the caller has disconnected.
+  asio::awaitable<bool> ReadShortBody(entry_worker_state& worker, connection& caller,
+                                      caller_request& request) {
+    if (request.refusal) co_return true;
+    call_state& call = request.call;
+    const auto length = request.parser.content_length();
     call.streams_body = length && static_cast<std::int64_t>(*length) > settings_.max_replay_bytes;
-    if (!call.streams_body && !parser.is_done()) {
-      worker.sending_callers.insert(&caller);
-      const body_outcome outcome = co_await BufferBody(caller, parser, call);
-      worker.sending_callers.erase(&caller);
-      if (outcome == body_outcome::kDisconnected) {
-        if (!stop_.AttemptsEnded()) co_return false;
-        call.keep_alive = false;
-        co_return co_await dispatcher_.RespondLocally(caller, parser, call, StoppingResponse());
-      }
-      if (outcome == body_outcome::kMalformed) {
-        call.keep_alive = false;
-        local_response refused =
-            NotRunResponse(400, "malformed", "read request", "the body is malformed");
-        co_return co_await dispatcher_.RespondLocally(caller, parser, call, std::move(refused));
-      }
-      // The rest of a long chunked body is streamed.
-      call.streams_body = outcome == body_outcome::kTooLong;
+    if (call.streams_body) co_return true;
+    worker.sending_callers.insert(&caller);
+    const body_outcome outcome = co_await BufferBody(caller, request.parser, call);
+    worker.sending_callers.erase(&caller);
+    if (outcome == body_outcome::kDisconnected) {
+      if (!stop_.AttemptsEnded()) co_return false;
+      call.keep_alive = false;
+      request.refusal = StoppingResponse();
+    }
+    if (outcome == body_outcome::kMalformed) {
+      call.keep_alive = false;
+      request.refusal = NotRunResponse(400, "malformed", "read request", "the body is malformed");
+    }
+    // The rest of a long chunked body is streamed.
+    call.streams_body = outcome == body_outcome::kTooLong;
+    co_return true;
+  }
+
+  asio::awaitable<bool> HandleRequest(entry_worker_state& worker, caller_session& caller,
+                                      caller_request& request) {
+    request_parser& parser = request.parser;
+    call_state& call = request.call;
+    if (request.refusal) {
+      co_return co_await dispatcher_.RespondLocally(caller, parser, call,
+                                                    std::move(*request.refusal));
     }
     call.fingerprint = RequestFingerprint(call.service, std::string(parser.get().method_string()),
                                           std::string(parser.get().target()), call.body);
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -362,6 +362,8 @@
 
 bool IsClosed(connection& open) { return Peek(open) == socket_state::kClosed; }
 
+bool HasUnreadBytes(connection& open) { return Peek(open) == socket_state::kDataPending; }
+
 bool IsStale(connection& idle) {
   return Peek(idle) != socket_state::kNoData || idle.buffer.size() != 0;
 }
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -144,6 +144,9 @@
 /// Whether the peer has closed a connection. One with unread data counts as open.
 bool IsClosed(connection& open);
 
+/// Whether bytes have arrived on a connection that are not read yet.
+bool HasUnreadBytes(connection& open);
+
 /// Whether the peer of an idle connection has closed it or sent unexpected data.
 bool IsStale(connection& idle);
 
