Keep the load that a target states, and test a target that never answers

Change: the gate reads a target's load header (http_conventions::load_header; X-Server-Load on the users' platform) and keeps it with the time of its arrival, the fourth figure included. Two gauges show that figure and the age. Nothing decides by it yet.

A new process test shows that a target which never answers a request costs only that request's connection; no code was changed for it.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -427,6 +427,13 @@
     metrics_.SetGauge("catkinmoor_ledger_entries", static_cast<double>(ledger_.Size()));
     metrics_.SetGauge("catkinmoor_resident_bytes", ResidentBytes());
     metrics_.SetGauge("catkinmoor_processor_seconds", ProcessorSeconds());
+    if (const auto load = gate_.TargetLoad()) {
+      const std::chrono::duration<double> age = Now() - load->received_at;
+      metrics_.SetGauge("catkinmoor_target_load_age_seconds", age.count());
+      if (load->work_time_percent) {
+        metrics_.SetGauge("catkinmoor_target_work_time_percent", *load->work_time_percent);
+      }
+    }
     metrics_.SetGauge("catkinmoor_ready", join_.Ready() ? 1 : 0);
     metrics_.SetGauge("catkinmoor_source_confirmed_age_seconds",
                       std::chrono::duration<double>(freshness_.Age(Now())).count());
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -618,3 +618,24 @@
   Require(OccurInOrder(responses, bodies), responses);
   Require(most > 1 && most <= 16, std::to_string(most.load()));
 }
+
+// Guards against a target that falls silent when it is full costing more than one connection: the
+// requests after it are answered, and none is sent on its connection, which answers nothing.
+Test(wire, of_a_request_without_an_answer_costs_only_its_own_connection) {
+  fleet subject({.subnet = 248, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const scripted_target target(address, [](const std::string& head) {
+    if (PathOf(head) != "/silent") return TextResponse(PathOf(head));
+    return scripted_target::response{.keep_alive = true, .hold_ms = 2'500};
+  });
+  StartWithDocument(subject, SlotboardDocument(400));
+  for (int round = 0; round < 2; ++round) {
+    const auto silent = subject.SendToEntry(address, "GET", "/silent");
+    Require(silent.status == 504, std::to_string(silent.status));
+    for (int i = 0; i < 20; ++i) {
+      const std::string path = "/now" + std::to_string(i);
+      const auto response = subject.SendToEntry(address, "GET", path);
+      Require(response.status == 200 && response.body == path, std::to_string(response.status));
+    }
+  }
+}
--- a/src/proxy/gate_proxy.h
+++ b/src/proxy/gate_proxy.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "admission/request_ledger.h"
@@ -11,6 +12,7 @@
 #include "framework/metrics/registry.h"
 #include "peer/messages.h"
 #include "proxy/proxy_settings.h"
+#include "proxy/target_load_report.h"
 #include "proxy/worker_pool.h"
 #include "quarantine/quarantine_board.h"
 
@@ -62,6 +64,9 @@
   /// Number of requests in progress or waiting.
   std::size_t ActiveRequests() const;
 
+  /// The load that the current target stated last; nothing if it has stated none.
+  std::optional<target_load_report> TargetLoad() const;
+
   /// Returns the fate of a request and, if it has not been forwarded yet, ensures that it never
   /// will be. A request that is waiting is left alone if the message asks for that.
   request_fate Fence(const fence_request& message);
--- a/src/proxy/internal/call_headers.cc
+++ b/src/proxy/internal/call_headers.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <string>
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -47,4 +48,16 @@
   return reported_load{*in_use, *slots, *queued, *service_ms};
 }
 
+std::optional<target_load_report> ParseTargetLoad(std::string_view text, time_point received_at) {
+  // Blanks around the numbers carry no meaning.
+  std::string list(text);
+  std::erase(list, ' ');
+  std::string_view rest = list;
+  const auto running = ParseNextInteger(rest);
+  const auto waiting = ParseNextInteger(rest);
+  const auto slots = ParseNextInteger(rest);
+  if (!running || !waiting || !slots) return std::nullopt;
+  return target_load_report{*running, *waiting, *slots, ParseNextInteger(rest), received_at};
+}
+
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -7,6 +7,7 @@
 
 #include "document/document.h"
 #include "framework/base/clock.h"
+#include "proxy/target_load_report.h"
 #include "routing/load_board.h"
 
 namespace catkinmoor::proxy_internal {
@@ -87,6 +88,10 @@
 std::string FormatLoad(const reported_load& load);
 std::optional<reported_load> ParseLoad(std::string_view text);
 
+/// Parses the load that a target states in its responses. Returns nothing if the first three
+/// numbers are missing or malformed; a fourth that is malformed counts as absent.
+std::optional<target_load_report> ParseTargetLoad(std::string_view text, time_point received_at);
+
 /// Writes the headers of a call. Fields is any Beast header type.
 template <typename Fields>
 void WriteCallHeaders(const gate_call& call, Fields& fields) {
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -87,6 +87,7 @@
       target_ = {address, target};
     }
     if (is_new_instance) slots_->ResetRateLimit();
+    if (is_new_instance) ForgetLoad();
     // Each running request uses a connection; the rest of the target's connection limit may be
     // idle.
     const std::uint32_t slots = std::min(target.slots, target.connections);
@@ -117,6 +118,11 @@
 
   std::size_t ActiveRequests() const { return active_; }
 
+  std::optional<target_load_report> TargetLoad() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return target_load_;
+  }
+
   void ClearPools() {
     for (connection_pool& each : pools_) each.Clear();
   }
@@ -425,6 +431,7 @@
     keep_open = keep_open && body_sent;
     if (!head.failed) {
       ApplyLimit(call, parser->get());
+      KeepLoad(call, parser->get());
       if (IsLeavingResponse(parser->get(), settings_.conventions)) EndNewRequests(call.instance);
     }
     if (!head.failed && IsNotRunResponse(parser->get(), settings_.conventions)) {
@@ -506,6 +513,22 @@
                    {"per_minute", limit ? std::llround(*limit * kSecondsPerMinute) : -1}});
   }
 
+  void ForgetLoad() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    target_load_.reset();
+  }
+
+  /// Keeps the load that a response of the current target states.
+  void KeepLoad(const gate_call& call, const response_message& response) {
+    const std::string& name = settings_.conventions.load_header;
+    if (name.empty() || !IsCurrentTarget(call.instance)) return;
+    const auto text = response[name];
+    const auto load = ParseTargetLoad({text.data(), text.size()}, Now());
+    if (!load) return;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    target_load_ = load;
+  }
+
   /// Sends no new requests to an instance that is leaving.
   void EndNewRequests(const std::string& instance) {
     {
@@ -590,6 +613,7 @@
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
   mutable std::mutex mutex_;
   std::optional<current_target> target_;
+  std::optional<target_load_report> target_load_;
   std::string last_instance_;
   std::atomic<std::size_t> active_ = 0;
   std::atomic<bool> closing_ = false;
@@ -617,6 +641,8 @@
 
 std::size_t gate_proxy::ActiveRequests() const { return impl_->ActiveRequests(); }
 
+std::optional<target_load_report> gate_proxy::TargetLoad() const { return impl_->TargetLoad(); }
+
 request_fate gate_proxy::Fence(const fence_request& message) { return impl_->Fence(message); }
 
 }  // namespace catkinmoor
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -26,6 +26,10 @@
   /// On a response of a target that limits the requests that it gets from all callers together: how
   /// many a second. In force until a response does not carry it.
   std::string limit_header;
+  /// On a response of a target: its load as decimal numbers separated by commas (requests that run,
+  /// that wait, slots), and where present a fourth, the time that work takes at present in per cent
+  /// of the usual time.
+  std::string load_header;
   /// On a response of a target that is leaving, with the value 1.
   std::string leaving_header;
   /// Carries the key of a caller, after the name of a scheme. Read where the document has
