--- a/src/framework/http/tests/response_head_test.cc
+++ b/src/framework/http/tests/response_head_test.cc
@@ -113,12 +113,13 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-    ::listen(listener, 1);
+    bool opened = ::bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                  ::listen(listener, 1) == 0;
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     reader = ::socket(AF_INET, SOCK_STREAM, 0);
-    ::connect(reader, reinterpret_cast<const sockaddr*>(&address), size);
-    peer = ::accept(listener, nullptr, nullptr);
+    opened = opened && ::connect(reader, reinterpret_cast<const sockaddr*>(&address), size) == 0;
+    peer = opened ? ::accept(listener, nullptr, nullptr) : -1;
+    cr_assert(peer >= 0, "no connection over the loopback interface");
     ::close(listener);
   }
   ~socket_pair() { ::close(reader); }
