Count the time of a pipelined request from the reading of its head

Cause: a request that waited for its turn got its whole deadline again, so that a target could be given more time than its caller still waits (found in review).

Change: the time counts from the reading of the head.

--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -218,7 +218,6 @@
         caller->Finish(request->call.turn, false);
         co_return false;
       }
-      RestartClock(request->call);
       const bool keeps = co_await ReadShortBody(worker, from, *request);
       if (!keeps) {
         caller->Finish(request->call.turn, false);
@@ -239,14 +238,6 @@
     return bytes;
   }
 
-  /// Lets the time of a request that waited for its turn count from now, as if it had been read
-  /// now.
-  static void RestartClock(call_state& call) {
-    const time_point now = Now();
-    call.deadline += now - call.started;
-    call.started = now;
-  }
-
   /// Runs a request whose head, and short body, have been read.
   static asio::awaitable<void> Run(std::shared_ptr<impl> self, entry_worker_state* worker,
                                    std::shared_ptr<caller_session> caller,
@@ -255,8 +246,8 @@
     bool may_run = true;
     if (!request->IsRepeatable()) {
       // Not run behind a response that closes the connection: the caller would send it again.
+      // Its time counts from the reading of its head, since the caller waits from then on.
       may_run = co_await caller->AwaitTurn(turn);
-      if (may_run) RestartClock(request->call);
     }
     bool keep_open = false;
     if (may_run) keep_open = co_await self->HandleRequest(*worker, *caller, *request);
