--- a/src/proxy/internal/call_headers.cc
+++ b/src/proxy/internal/call_headers.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <string>
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -56,4 +57,16 @@
                        ParseNextInteger(text).value_or(0)};
 }
 
+std::optional<target_load_report> ParseTargetLoad(std::string_view text, time_point received_at) {
+  // Blanks around the numbers carry no meaning.
+  std::string list(text);
+  std::erase(list, ' ');
+  std::string_view rest = list;
+  const auto running = ParseNextInteger(rest);
+  const auto waiting = ParseNextInteger(rest);
+  const auto slots = ParseNextInteger(rest);
+  if (!running || !waiting || !slots) return std::nullopt;
+  return target_load_report{*running, *waiting, *slots, ParseNextInteger(rest), received_at};
+}
+
 }  // namespace catkinmoor::proxy_internal
