--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "framework/logging/log.h"
+#include "rollout/boot_clock.h"
 
 namespace catkinmoor {
 namespace {
@@ -25,7 +26,7 @@
 
 bool HasRecords(const spread_request& message) {
   return !message.documents.empty() || !message.members.empty() || !message.crashes.empty() ||
-         message.confirmation;
+         message.confirmation || !message.rollouts.empty();
 }
 
 /// Moves the next chunk of records out of a long transfer, to bound the size of a message.
@@ -157,6 +158,23 @@
   Forward(std::move(message));
 }
 
+void record_exchange::AnnounceRollout(const rollout_state& state, spread_range range) {
+  if (rollouts_ == nullptr || !rollouts_->Record(state, BootNow())) return;
+  spread_request message = MakeSpread({range, ""});
+  message.rollouts.push_back(state);
+  Forward(std::move(message));
+}
+
+std::vector<rollout_state> record_exchange::MergeRollouts(
+    const std::vector<rollout_state>& states) {
+  std::vector<rollout_state> newer;
+  if (rollouts_ == nullptr) return newer;
+  for (const rollout_state& each : states) {
+    if (rollouts_->Record(each, BootNow())) newer.push_back(each);
+  }
+  return newer;
+}
+
 void record_exchange::AnnounceSelf() { AnnounceMember(deps_.self.Get()); }
 
 bool record_exchange::MergeMember(const member_record& record) {
@@ -288,8 +306,10 @@
   for (const crash_report& each : message.crashes) {
     if (deps_.quarantine.Record(each, Now())) new_crashes.push_back(each);
   }
+  std::vector<rollout_state> newer_rollouts = MergeRollouts(message.rollouts);
   if (!strategy_.ForwardsHeld()) {
     message.crashes = std::move(new_crashes);
+    message.rollouts = std::move(newer_rollouts);
     message.documents = std::move(updates.documents);
     message.members = std::move(updates.members);
   }
@@ -307,6 +327,9 @@
       reply.documents.push_back({each->source.service, each->source.version, each->source.digest});
     }
   }
+  if (rollouts_ != nullptr) {
+    for (const held_rollout& each : rollouts_->All()) reply.rollouts.push_back(each.state);
+  }
   std::vector<bool> differs(member_table::kBuckets, false);
   for (std::uint32_t i = 0; i < message.member_buckets.size(); ++i) {
     if (i >= member_table::kBuckets) break;
@@ -378,6 +401,7 @@
   }
   auto comparison = co_await peers_.Compare(control, std::move(request), kReconcileTimeout);
   if (!Ok(comparison)) co_return Failure(comparison);
+  MergeRollouts(Value(comparison).rollouts);
   transfer_request remaining = ComputeDifference(Value(comparison));
   remaining.sender = self.vm;
   remaining.sender_data_centre = self.data_centre;
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -16,6 +16,7 @@
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
 #include "peer/peer_transport.h"
+#include "rollout/rollout_board.h"
 
 namespace catkinmoor {
 
@@ -60,6 +61,12 @@
   /// Records a crash report that originates at this daemon, and spreads it if it was new.
   void AnnounceCrash(const crash_report& report);
 
+  /// Sets the board that holds the states of rollouts; without one they are not exchanged.
+  void SetRolloutBoard(rollout_board* rollouts) { rollouts_ = rollouts; }
+
+  /// Records a state of a rollout, and spreads it if it was newer than the one held.
+  void AnnounceRollout(const rollout_state& state, spread_range range);
+
   /// Merges and spreads this daemon's own record as it is now.
   void AnnounceSelf();
 
@@ -98,6 +105,8 @@
 
   /// Fetches documents whose spreading did not reach this daemon.
   boost::asio::awaitable<void> FetchMissed(std::string sender, std::uint64_t last_change);
+  /// Keeps states of rollouts and returns those that were newer.
+  std::vector<rollout_state> MergeRollouts(const std::vector<rollout_state>& states);
   void QueueMember(const member_record& record);
   void FlushMembers();
   void Forward(spread_request message);
@@ -113,6 +122,7 @@
   peer_client& peers_;
   spread_strategy& strategy_;
   distribution_settings settings_;
+  rollout_board* rollouts_ = nullptr;
   member_listener on_member_;
   member_listener on_stale_self_;
   std::atomic<bool> fetching_missed_ = false;
--- a/src/peer/grpc_transport.h
+++ b/src/peer/grpc_transport.h
@@ -34,6 +34,9 @@
   boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
                                                     milliseconds timeout) override;
 
+  boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(endpoint, rollout_report,
+                                                                     milliseconds timeout) override;
+
   /// Closes connections that have not been used for longer than the given age.
   void CloseIdle(milliseconds age);
 
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -220,8 +220,97 @@
   to.assign(from.begin(), from.end());
 }
 
+void ToWire(const rollout_state& from, wire::RolloutState& to) {
+  to.set_service(from.order.service);
+  to.set_order(from.order.number);
+  to.set_target(from.order.target);
+  to.set_duration_ms(static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(from.order.duration.count(), 0, UINT32_MAX)));
+  to.set_phase(EnumNumber(from.phase));
+  to.set_share(from.share);
+  to.set_target_fraction(from.target_fraction);
+  to.set_conductor(from.conductor);
+  to.set_epoch(from.epoch);
+  to.set_sequence(from.sequence);
+  CopyToWire(from.excluded, *to.mutable_excluded());
+  to.set_reason(from.reason);
+}
+
+rollout_state FromWire(const wire::RolloutState& from) {
+  rollout_state to{
+      {from.service(), from.order(), from.target(), milliseconds(from.duration_ms())},
+      ClampEnum(from.phase(), rollout_phase::kRolledBack),
+      from.share(),
+      from.target_fraction(),
+      from.conductor(),
+      from.epoch(),
+      from.sequence(),
+      {},
+      from.reason()};
+  CopyFromWire(from.excluded(), to.excluded);
+  return to;
+}
+
+template <typename WireList>
+void RolloutsToWire(const std::vector<rollout_state>& from, WireList& to) {
+  for (const rollout_state& each : from) ToWire(each, *to.Add());
+}
+
+template <typename WireList>
+void RolloutsFromWire(const WireList& from, std::vector<rollout_state>& to) {
+  for (const wire::RolloutState& each : from) to.push_back(FromWire(each));
+}
+
 }  // namespace
 
+void ToWire(const rollout_report& from, wire::RolloutReport& to) {
+  to.set_sender(from.sender);
+  to.set_incarnation(from.incarnation);
+  to.set_number(from.number);
+  to.set_service(from.service);
+  to.set_order(from.order);
+  to.set_seen_epoch(from.seen_epoch);
+  to.set_seen_sequence(from.seen_sequence);
+  to.set_other_in_flight(from.other_in_flight);
+  to.set_requests(from.requests);
+  to.set_exposed(from.exposed);
+  to.set_grant_epoch(from.grant_epoch);
+  to.set_returned(from.returned);
+  for (const rollout_counts& each : from.counts) {
+    wire::RolloutCounts& counts = *to.add_counts();
+    counts.set_ordered(each.ordered);
+    counts.set_route(each.route);
+    counts.set_requests(each.figures.requests);
+    counts.set_failures(each.figures.failures);
+    counts.mutable_times()->Add(each.figures.times.begin(), each.figures.times.end());
+  }
+}
+
+void FromWire(const wire::RolloutReport& from, rollout_report& to) {
+  to = {from.sender(),        from.incarnation(),     from.number(),   from.service(),
+        from.order(),         from.seen_epoch(),      from.seen_sequence(),
+        from.other_in_flight(), from.requests(),      from.exposed(),  from.grant_epoch(),
+        from.returned(),      {}};
+  for (const wire::RolloutCounts& each : from.counts()) {
+    rollout_counts counts{each.ordered(), each.route(), {each.requests(), each.failures(), {}}};
+    const std::size_t buckets = std::min<std::size_t>(each.times_size(), kTimeBuckets);
+    std::copy_n(each.times().begin(), buckets, counts.figures.times.begin());
+    to.counts.push_back(std::move(counts));
+  }
+}
+
+void ToWire(const rollout_report_reply& from, wire::RolloutReportReply& to) {
+  if (from.state) ToWire(*from.state, *to.mutable_state());
+  to.set_grant_epoch(from.grant_epoch);
+  to.set_granted(from.granted);
+}
+
+void FromWire(const wire::RolloutReportReply& from, rollout_report_reply& to) {
+  if (from.has_state()) to.state = FromWire(from.state());
+  to.grant_epoch = from.grant_epoch();
+  to.granted = from.granted();
+}
+
 void ToWire(const spread_request& from, wire::SpreadRequest& to) {
   to.set_sender(from.sender);
   to.set_sender_data_centre(from.sender_data_centre);
@@ -237,6 +326,7 @@
     report.set_released(each.released);
   }
   if (from.confirmation) ToWire(*from.confirmation, *to.mutable_confirmation());
+  RolloutsToWire(from.rollouts, *to.mutable_rollouts());
 }
 
 void FromWire(const wire::SpreadRequest& from, spread_request& to) {
@@ -250,6 +340,7 @@
     to.crashes.push_back({each.fingerprint(), each.reporter(), each.number(), each.released()});
   }
   if (from.has_confirmation()) to.confirmation = FromWire(from.confirmation());
+  RolloutsFromWire(from.rollouts(), to.rollouts);
 }
 
 void ToWire(const spread_reply& from, wire::SpreadReply& to) {
@@ -311,6 +402,7 @@
     summary.set_vm(each.vm);
     ToWire(each.version, *summary.mutable_version());
   }
+  RolloutsToWire(from.rollouts, *to.mutable_rollouts());
 }
 
 void FromWire(const wire::CompareReply& from, compare_reply& to) {
@@ -322,6 +414,7 @@
   for (const wire::MemberSummary& each : from.members()) {
     to.members.push_back({each.vm(), FromWire(each.version())});
   }
+  RolloutsFromWire(from.rollouts(), to.rollouts);
 }
 
 void ToWire(const transfer_request& from, wire::TransferRequest& to) {
--- a/src/peer/internal/convert.h
+++ b/src/peer/internal/convert.h
@@ -20,6 +20,11 @@
 void ToWire(const fence_request& from, wire::FenceRequest& to);
 void ToWire(const fence_reply& from, wire::FenceReply& to);
 
+void ToWire(const rollout_report& from, wire::RolloutReport& to);
+void ToWire(const rollout_report_reply& from, wire::RolloutReportReply& to);
+
+void FromWire(const wire::RolloutReport& from, rollout_report& to);
+void FromWire(const wire::RolloutReportReply& from, rollout_report_reply& to);
 void FromWire(const wire::SpreadRequest& from, spread_request& to);
 void FromWire(const wire::SpreadReply& from, spread_reply& to);
 void FromWire(const wire::ProbeRequest& from, probe_request& to);
--- a/src/peer/internal/grpc_transport.cc
+++ b/src/peer/internal/grpc_transport.cc
@@ -210,6 +210,15 @@
       });
 }
 
+asio::awaitable<result<rollout_report_reply>> grpc_peer_client::ReportRollout(
+    endpoint address, rollout_report message, milliseconds timeout) {
+  return state_->Call<wire::RolloutReportReply, rollout_report_reply, wire::RolloutReport>(
+      "report rollout", std::move(address), std::move(message), timeout,
+      [](auto* stub, auto* context, auto* request, auto* reply, auto on_done) {
+        stub->async()->ReportRollout(context, request, reply, std::move(on_done));
+      });
+}
+
 struct grpc_peer_server::state : wire::PeerService::CallbackService {
   state(asio::io_context& io, peer_service& handler) : context(io), service(handler) {}
 
@@ -247,6 +256,11 @@
                                    wire::SpreadReply* reply) override {
     return Serve(call, request, reply, &peer_service::OnSpread);
   }
+  grpc::ServerUnaryReactor* ReportRollout(grpc::CallbackServerContext* call,
+                                          const wire::RolloutReport* request,
+                                          wire::RolloutReportReply* reply) override {
+    return Serve(call, request, reply, &peer_service::OnRolloutReport);
+  }
   grpc::ServerUnaryReactor* Probe(grpc::CallbackServerContext* call,
                                   const wire::ProbeRequest* request,
                                   wire::ProbeReply* reply) override {
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,6 +8,7 @@
 #include "document/document.h"
 #include "membership/member.h"
 #include "quarantine/quarantine_board.h"
+#include "rollout/rollout_state.h"
 
 namespace catkinmoor {
 
@@ -49,6 +50,7 @@
   /// The vm that the message is meant for; empty when unknown.
   std::string recipient;
   std::optional<source_confirmation> confirmation = std::nullopt;
+  std::vector<rollout_state> rollouts = {};
 
   friend bool operator==(const spread_request&, const spread_request&) = default;
 };
@@ -108,6 +110,8 @@
   std::vector<std::uint32_t> member_buckets;
   std::vector<document_summary> documents;
   std::vector<member_summary> members;
+  /// Rollouts known to the receiver, so that a daemon that joins knows them before it serves.
+  std::vector<rollout_state> rollouts = {};
 
   friend bool operator==(const compare_reply&, const compare_reply&) = default;
 };
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -27,8 +27,17 @@
                                                               milliseconds timeout) = 0;
   virtual boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
                                                             milliseconds timeout) = 0;
+
+  /// Transports without rollouts need not support these messages.
+  virtual boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(
+      endpoint peer, rollout_report message, milliseconds timeout);
 };
 
+inline boost::asio::awaitable<result<rollout_report_reply>> peer_client::ReportRollout(
+    endpoint peer, rollout_report, milliseconds) {
+  co_return error{error_kind::kUnavailable, "report rollout", ToString(peer), "not supported"};
+}
+
 /// Handles the messages of other daemons.
 class peer_service {
  public:
@@ -40,6 +49,7 @@
   virtual boost::asio::awaitable<transfer_reply> OnTransfer(transfer_request message) = 0;
   virtual boost::asio::awaitable<gather_reply> OnGather(gather_request message) = 0;
   virtual boost::asio::awaitable<fence_reply> OnFence(fence_request message) = 0;
+  virtual boost::asio::awaitable<rollout_report_reply> OnRolloutReport(rollout_report message) = 0;
 };
 
 }  // namespace catkinmoor
--- /dev/null
+++ b/src/rollout/tests/rollout_verdict_test.cc
@@ -0,0 +1,1 @@
+#include <criterion/criterion.h>
