Conduct rollouts: lease, reports, orders and status of the platform, settings

The controller beside those of distribution holds the row of the table, takes the entries' reports and spreads states. Orders come with the updates of the source; the platform's status rows are written through an interface. Off unless the bounds are set.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "daemon/target_registration.h"
 #include "framework/base/result.h"
 #include "framework/http/client.h"
+#include "rollout/rollout_status.h"
 #include "store/document_source.h"
 #include "store/platform_client.h"
 
@@ -22,6 +23,8 @@
   std::function<std::unique_ptr<platform_client>(http::client&)> make_platform_client;
   /// Creates the source of accepted documents, which reads through the daemon's HTTP client.
   std::function<std::unique_ptr<document_source>(http::client&)> make_document_source;
+  /// Creates the writer of the states of rollouts; without one, operators are not told.
+  std::function<std::unique_ptr<rollout_status_writer>(http::client&)> make_rollout_status;
   /// Handles the requests by which the vm's own target registers.
   registration_handler handle_registration;
   /// Reads the settings again on a reload.
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -8,6 +8,7 @@
 #include "distribution/distribution_settings.h"
 #include "framework/json/field_table.h"
 #include "proxy/proxy_settings.h"
+#include "rollout/rollout_state.h"
 
 namespace catkinmoor {
 
@@ -38,6 +39,7 @@
   std::vector<translation_rule> translation_rules;
   distribution_settings distribution;
   proxy_settings proxy;
+  rollout_bounds rollout;
   bool verbose = false;
 };
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -19,6 +19,7 @@
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
 #include "distribution/membership_controller.h"
+#include "distribution/rollout_controller.h"
 #include "framework/base/digest.h"
 #include "framework/http/client.h"
 #include "framework/http/server.h"
@@ -26,6 +27,7 @@
 #include "peer/grpc_transport.h"
 #include "proxy/entry_proxy.h"
 #include "proxy/gate_proxy.h"
+#include "rollout/boot_clock.h"
 #include "store/http_platform_client.h"
 #include "store/repository_source.h"
 
@@ -103,11 +105,16 @@
                     random_device_()),
         source_(control_context_, deps_, *document_source_, exchange_, *strategy_,
                 settings_.distribution, random_device_()),
+        rollout_status_(hooks_.make_rollout_status ? hooks_.make_rollout_status(http_client_)
+                                                   : nullptr),
+        rollout_(control_context_, deps_, peers_, exchange_,
+                 {rollouts_, versions_, *platform_, rollout_status_.get(), settings_.rollout}),
         join_(control_context_, deps_, *platform_, peers_, exchange_, source_,
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
         status_(deps_, peers_),
         workers_(static_cast<std::size_t>(settings_.workers)),
-        entry_(workers_, {documents_, members_, self_, loads_, budget_, quarantine_, metrics_},
+        entry_(workers_,
+               {documents_, members_, self_, loads_, budget_, quarantine_, metrics_, &versions_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -152,6 +159,9 @@
     });
     exchange_.SetStaleSelfListener(
         [this](const member_record& past) { target_.RestoreDeparture(past); });
+    source_.SetOrderListener([this](const rollout_order& order, spread_range range) {
+      rollout_.OnOrder(order, range);
+    });
     AwaitReloadSignal();
     if (settings_.reload_check_interval.count() > 0) {
       asio::co_spawn(control_context_, PollForReload(), asio::detached);
@@ -180,6 +190,9 @@
   asio::awaitable<gather_reply> OnGather(gather_request message) override {
     return status_.OnGather(std::move(message));
   }
+  asio::awaitable<rollout_report_reply> OnRolloutReport(rollout_report message) override {
+    return rollout_.OnReport(std::move(message));
+  }
   asio::awaitable<fence_reply> OnFence(fence_request message) override {
     co_return fence_reply{gate_.Fence(message)};
   }
@@ -285,6 +298,7 @@
     entry_.SetReady(true);
     asio::co_spawn(control_context_, membership_.Run(), asio::detached);
     asio::co_spawn(control_context_, source_.Run(), asio::detached);
+    asio::co_spawn(control_context_, rollout_.Run(), asio::detached);
     asio::co_spawn(control_context_, join_.MaintainRendezvousRecord(), asio::detached);
     asio::co_spawn(control_context_, CleanUpPeriodically(), asio::detached);
     if (settings_.distribution.max_witness_wait.count() > 0) {
@@ -400,6 +414,7 @@
     reload_timer_.cancel();
     membership_.Stop();
     source_.Stop();
+    rollout_.Stop();
     join_.Stop();
     target_.Stop();
     cleanup_timer_.cancel();
@@ -447,6 +462,8 @@
   retry_budget budget_;
   request_ledger ledger_;
   quarantine_board quarantine_;
+  rollout_board rollouts_;
+  version_router versions_{rollouts_, settings_.region, BootNow, random_device_()};
   source_freshness freshness_{settings_.distribution.max_source_age};
   distribution_dependencies deps_{documents_, members_, self_, freshness_, quarantine_, metrics_};
   std::unique_ptr<spread_strategy> strategy_;
@@ -458,6 +475,8 @@
   record_exchange exchange_;
   membership_controller membership_;
   source_controller source_;
+  std::unique_ptr<rollout_status_writer> rollout_status_;
+  rollout_controller rollout_;
   join_controller join_;
   status_controller status_;
   worker_pool workers_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -93,6 +93,18 @@
      false, 0, kMaxBytes},
 }};
 
+using rb = rollout_bounds;
+const std::array<field<rb>, 3> kRolloutFields = {{
+    {"expose_share", &rb::expose_share,
+     "Share of the requests to a service that an unproven version may get; 0 turns rollouts off.",
+     false, 0, 1},
+    {"expose_slack", &rb::expose_slack, "Requests that it may get beyond that share.", false, 0,
+     kMaxBytes},
+    {"rollback_ms", &rb::rollback,
+     "Time after its 50th bad response in which a version may still get requests.", false, 0,
+     kMaxTimeMs},
+}};
+
 const std::array<field<translation_rule>, 2> kTranslationRuleFields = {{
     {"prefix", &translation_rule::prefix, "Prefix of the addresses to which the rule applies.",
      true, 1},
@@ -126,12 +138,19 @@
                problems& found) {
   json::ReadObject<ps>(from, pointer, kProxyFields, to.proxy, found);
 }
+void ReadRollout(const bj::value& from, const std::string& pointer, daemon_settings& to,
+                 problems& found) {
+  json::ReadObject<rb>(from, pointer, kRolloutFields, to.rollout, found);
+}
+bj::value WriteRollout(const daemon_settings& from) {
+  return json::WriteObject<rb>(from.rollout, kRolloutFields);
+}
 bj::value WriteProxy(const daemon_settings& from) {
   return json::WriteObject<ps>(from.proxy, kProxyFields);
 }
 
 using s = daemon_settings;
-const std::array<field<s>, 26> kFields = {{
+const std::array<field<s>, 27> kFields = {{
     {"vm", &s::vm, "Name of the vm, unique in the fleet.", true, 1},
     {"region", &s::region, "Region of the vm.", true, 1},
     {"data_centre", &s::data_centre, "Data centre of the vm.", true, 1},
@@ -172,6 +191,8 @@
     {"distribution", custom_member<s>{ReadDistribution, WriteDistribution},
      "Settings of distribution, listed below."},
     {"proxy", custom_member<s>{ReadProxy, WriteProxy}, "Settings of the proxies, listed below."},
+    {"rollout", custom_member<s>{ReadRollout, WriteRollout},
+     "Bounds on the exposure of unproven versions, listed below."},
     {"verbose", &s::verbose, "Whether informational events are logged as well as warnings."},
 }};
 
@@ -180,7 +201,7 @@
                 std::type_identity_t<std::span<const field<T>>> table) {
   const T defaults;
   for (const field<T>& row : table) {
-    if (row.name == "distribution" || row.name == "proxy") continue;
+    if (row.name == "distribution" || row.name == "proxy" || row.name == "rollout") continue;
     const std::string value =
         row.required ? "required" : bj::serialize(json::internal::WriteMember(row, defaults));
     to << "| `" << prefix << row.name << "` | `" << value << "` | " << row.description << " |\n";
@@ -224,6 +245,7 @@
   AppendRows<daemon_settings>(table, "", kFields);
   AppendRows<ds>(table, "distribution.", kDistributionFields);
   AppendRows<ps>(table, "proxy.", kProxyFields);
+  AppendRows<rb>(table, "rollout.", kRolloutFields);
   return table.str();
 }
 
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -126,6 +126,9 @@
   if (!Ok(update)) co_return Failure(update);
   const time_point read_at = Now();
   exchange_.SpreadSourceRead(OfferAll(std::move(Value(update).documents)), range, read_at);
+  for (const rollout_order& each : Value(update).orders) {
+    if (on_order_) on_order_(each, range);
+  }
   position_ = std::max(position_.load(), Value(update).position);
   co_return position_ > previous;
 }
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <mutex>
 #include <random>
 
@@ -22,6 +23,11 @@
                     document_source& source, record_exchange& exchange, spread_strategy& strategy,
                     distribution_settings settings, std::uint64_t seed);
 
+  using order_listener = std::function<void(const rollout_order& order, spread_range range)>;
+
+  /// Sets a listener for orders of rollouts that the source returned.
+  void SetOrderListener(order_listener listener) { on_order_ = std::move(listener); }
+
   /// Polls until Stop; runs as its own coroutine.
   boost::asio::awaitable<void> Run();
   void Stop();
@@ -54,6 +60,7 @@
   boost::asio::io_context& context_;
   std::mt19937_64 random_;
   boost::asio::steady_timer timer_;
+  order_listener on_order_;
   std::atomic<std::uint64_t> position_ = 0;
   std::atomic<bool> stopping_ = false;
 };
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -14,6 +14,7 @@
 #include "quarantine/quarantine_board.h"
 #include "routing/load_board.h"
 #include "routing/retry_budget.h"
+#include "rollout/version_router.h"
 #include "routing/retry_policy.h"
 
 namespace catkinmoor {
@@ -27,6 +28,8 @@
   retry_budget& budget;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  /// Restricts requests to versions during rollouts; null if there are none.
+  version_router* versions = nullptr;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -6,6 +6,7 @@
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
 #include "proxy/internal/target_responses.h"
+#include "proxy/internal/version_evidence.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -101,8 +102,9 @@
   for (;;) {
     context.now = Now();
     context.spent = std::chrono::duration_cast<milliseconds>(context.now - call.started);
-    const auto eligible =
-        EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
+    const auto eligible = RestrictVersions(
+        deps_.versions, call, state.attempts_made == 0,
+        EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service)));
     const member_ptr target =
         PickTarget(eligible, content, *call.matched_route, context, deps_.loads, worker.random);
     const target_load load = target == nullptr ? target_load{} : deps_.loads.Get(target->vm);
@@ -126,6 +128,7 @@
     if (state.attempts_made > 1) CountMetric("catkinmoor_retries_total", call);
     const std::string attempt_id = RandomId();
     const time_point sent_at = Now();
+    auto evidence = BeginEvidence(deps_.versions, call, *target);
     attempt_result attempt =
         co_await sender_.MakeAttempt(worker, caller, parser, call, *target, attempt_id);
     if (attempt.caller_disconnected) co_return false;
@@ -151,6 +154,7 @@
       if (fate == request_fate::kNeverForwarded) attempt.outcome = attempt_outcome::kFenced;
       next = DecideNextStep(call, state, attempt.outcome);
     }
+    RecordEvidence(evidence, attempt, sent_at);
     if (next == next_step::kDeliverResponse) {
       if (deferred) co_await sender_.DiscardResponse(worker, deferred->target, deferred->attempt);
       co_return co_await DeliverResponse(worker, caller, parser, call, std::move(context), *target,
@@ -303,8 +307,9 @@
         deps_.budget.TryTake(call.service, content.retry_budget, retry_kind::kNotRun, Now());
     if (!allowed) break;
     context.now = Now();
-    const auto eligible =
-        EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
+    const auto eligible = RestrictVersions(
+        deps_.versions, call, false,
+        EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service)));
     const member_ptr target =
         PickTarget(eligible, content, *call.matched_route, context, deps_.loads, worker.random);
     if (target == nullptr) break;
--- a/src/store/document_source.h
+++ b/src/store/document_source.h
@@ -7,6 +7,7 @@
 #include "document/document.h"
 #include "framework/base/clock.h"
 #include "framework/base/result.h"
+#include "rollout/rollout_state.h"
 
 namespace catkinmoor {
 
@@ -15,6 +16,8 @@
 struct source_update {
   std::uint64_t position = 0;
   std::vector<document_version> documents;
+  /// The newest order of each rollout that the source returned.
+  std::vector<rollout_order> orders = {};
 
   friend bool operator==(const source_update&, const source_update&) = default;
 };
