--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -159,9 +159,8 @@
     });
     exchange_.SetStaleSelfListener(
         [this](const member_record& past) { target_.RestoreDeparture(past); });
-    source_.SetOrderListener([this](const rollout_order& order, spread_range range) {
-      rollout_.OnOrder(order, range);
-    });
+    source_.SetOrderListener(
+        [this](const rollout_order& order, spread_range range) { rollout_.OnOrder(order, range); });
     AwaitReloadSignal();
     if (settings_.reload_check_interval.count() > 0) {
       asio::co_spawn(control_context_, PollForReload(), asio::detached);
--- a/src/distribution/internal/rollout_controller.cc
+++ b/src/distribution/internal/rollout_controller.cc
@@ -11,7 +11,6 @@
 #include "distribution/spread_plan.h"
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
-#include "rollout/boot_clock.h"
 
 namespace catkinmoor {
 namespace {
@@ -71,7 +70,7 @@
     timer_.expires_after(rollout_.board.IsEmpty() ? kIdleTick : kTick);
     co_await timer_.async_wait(kAwait);
     if (stopping_) co_return;
-    for (const held_rollout& each : rollout_.board.All()) Tick(each, BootNow());
+    for (const held_rollout& each : rollout_.board.All()) Tick(each, rollout_.now());
   }
 }
 
@@ -86,8 +85,8 @@
   rollout_state state{order};
   // Until a conductor states which versions were not proven, this daemon's knowledge is spread.
   if (held) {
-    const rollout_record previous{held->state.order,   held->state.phase, milliseconds(0), 0,
-                                  held->state.excluded, ""};
+    const rollout_record previous{
+        held->state.order, held->state.phase, milliseconds(0), 0, held->state.excluded, ""};
     state.excluded = SucceedingRecord(previous, order).excluded;
   }
   exchange_.AnnounceRollout(state, range);
@@ -112,8 +111,7 @@
   const milliseconds interval =
       version_router::ReportInterval(held.state.phase, deps_.members.View()->all.size());
   const bool due = now - own.reported_at >= interval && rollout_.router.HasNews(service);
-  const bool urgent =
-      now - own.reported_at >= kTick && rollout_.router.IsReportUrgent(service);
+  const bool urgent = now - own.reported_at >= kTick && rollout_.router.IsReportUrgent(service);
   if (!due && !urgent) return;
   own.reporting = true;
   own.reported_at = now;
@@ -138,7 +136,7 @@
     if (Ok(reply)) {
       deps_.metrics.IncrementCounter("catkinmoor_rollout_reports_total");
       const auto& state = Value(reply).state;
-      if (state && state->order.service == service) rollout_.board.Record(*state, BootNow());
+      if (state && state->order.service == service) rollout_.board.Record(*state, rollout_.now());
       rollout_.router.OnReply(service, order, Value(reply));
     } else {
       deps_.metrics.IncrementCounter("catkinmoor_rollout_report_failures_total");
@@ -151,10 +149,10 @@
 asio::awaitable<rollout_report_reply> rollout_controller::OnReport(rollout_report report) {
   rollout_report_reply reply;
   if (!rollout_.bounds.Enabled()) co_return reply;
-  const time_point now = BootNow();
+  const time_point now = rollout_.now();
   const auto found = jobs_.find(report.service);
-  const bool conducts = found != jobs_.end() && found->second.plan != nullptr &&
-                        found->second.lease.Holds(now);
+  const bool conducts =
+      found != jobs_.end() && found->second.plan != nullptr && found->second.lease.Holds(now);
   if (conducts) reply = found->second.plan->OnReport(report, now);
   // The plan may be ahead of the table; only what has been published counts.
   reply.state.reset();
@@ -178,14 +176,23 @@
   return std::nullopt;
 }
 
+bool rollout_controller::IsGone(const std::string& vm) const {
+  const auto view = deps_.members.View();
+  std::size_t present = 0;
+  for (const auto& [name, member] : view->all) present += IsPresent(*member) ? 1 : 0;
+  // Of two parts of a fleet that do not hear each other, the smaller one takes nothing over.
+  if (present * 2 <= view->all.size()) return false;
+  const auto found = view->all.find(vm);
+  return found == view->all.end() || !IsPresent(*found->second);
+}
+
 void rollout_controller::ObserveIfDue(const held_rollout& held, job& own, time_point now) {
   const bool final = IsFinal(held.state.phase);
   if (own.busy || (final && own.finished_order == held.state.order.number)) return;
   // A conductor that dies after it spread the end may not have written the status.
   if (final && now - held.phase_heard_at < kFinalCheckDelay) return;
   const bool conducted = !final && !held.state.conductor.empty();
-  const milliseconds silence =
-      std::chrono::duration_cast<milliseconds>(now - held.heard_at);
+  const milliseconds silence = std::chrono::duration_cast<milliseconds>(now - held.heard_at);
   if (conducted && silence < kSilence) return;
   if (now - own.observed_at < kObserveInterval) return;
   const auto rank = CandidateRank(held.state.order.service);
@@ -205,8 +212,11 @@
     co_return;
   }
   const std::optional<conductor_row>& row = Value(read);
-  const time_point now = BootNow();
-  const auto step = own.lease.Observe(row, order.number, self, now);
+  const time_point now = rollout_.now();
+  const auto heard = rollout_.board.Find(order.service);
+  const bool silent = !heard || now - heard->heard_at >= conductor_lease::kTakeover;
+  const bool gone = row && silent && IsGone(row->vm);
+  const auto step = own.lease.Observe(row, order.number, self, gone, now);
   if (step == conductor_lease::step::kFinished) {
     rollout_state ended{row->record.order};
     ended.phase = row->record.phase;
@@ -218,8 +228,8 @@
     ended.reason = row->record.reason;
     own.finished_order = order.number;
     const auto held = rollout_.board.Find(order.service);
-    const bool known = held && held->state.order.number == order.number &&
-                       IsFinal(held->state.phase);
+    const bool known =
+        held && held->state.order.number == order.number && IsFinal(held->state.phase);
     if (!known) exchange_.AnnounceRollout(ended, spread_range::kFleet);
   }
   if (step == conductor_lease::step::kClaim) {
@@ -230,7 +240,7 @@
       claim.record.phase = known->state.phase;
       claim.record.reason = known->state.reason;
     }
-    const time_point sent_at = BootNow();
+    const time_point sent_at = rollout_.now();
     const auto written = co_await WriteRow(claim);
     const auto held = rollout_.board.Find(order.service);
     const bool superseded = held && held->state.order.number > order.number;
@@ -238,7 +248,7 @@
       own.lease.OnRenewed(sent_at);
       own.epoch = claim.epoch;
       own.plan = std::make_unique<rollout_plan>(claim.record, rollout_.bounds, self, claim.epoch,
-                                                BootNow());
+                                                rollout_.now());
       own.recorded_phase.reset();
       own.written_status.reset();
       own.closed = false;
@@ -300,8 +310,7 @@
 
 void rollout_controller::Conduct(const held_rollout& held, job& own, time_point now) {
   const std::string service = held.state.order.service;
-  if (held.state.order.number == own.plan->State().order.number &&
-      held.state.epoch > own.epoch) {
+  if (held.state.order.number == own.plan->State().order.number && held.state.epoch > own.epoch) {
     return StopConducting(service, own, "another daemon conducts it");
   }
   if (held.state.order.number > own.plan->State().order.number) {
@@ -335,8 +344,8 @@
   const bool changed = own.plan->Step(Fleet(own.plan->State().order), now);
   const rollout_state state = own.plan->State();
   deps_.metrics.SetGauge("catkinmoor_rollout_share", state.share, {{"service", service}});
-  deps_.metrics.SetGauge("catkinmoor_rollout_requests",
-                         static_cast<double>(own.plan->Requests()), {{"service", service}});
+  deps_.metrics.SetGauge("catkinmoor_rollout_requests", static_cast<double>(own.plan->Requests()),
+                         {{"service", service}});
   deps_.metrics.SetGauge("catkinmoor_rollout_granted", static_cast<double>(own.plan->Granted()),
                          {{"service", service}});
   if (changed) LogPhase(own);
@@ -387,12 +396,12 @@
   conductor_row next;
   next.vm = self;
   next.epoch = own.epoch;
-  next.record = own.plan->MakeRecord(BootNow());
+  next.record = own.plan->MakeRecord(rollout_.now());
   next.revision = row->revision;
   const bool final = IsFinal(next.record.phase);
   next.status_written =
       final && (rollout_.status == nullptr || own.written_status == OutcomeOf(next.record.phase));
-  const time_point sent_at = BootNow();
+  const time_point sent_at = rollout_.now();
   const auto written = co_await WriteRow(next);
   if (Ok(written) && is_current()) {
     own.lease.OnRenewed(sent_at);
@@ -430,7 +439,7 @@
 
 std::vector<rollout_view> rollout_controller::View() const {
   std::vector<rollout_view> views;
-  const time_point now = BootNow();
+  const time_point now = rollout_.now();
   for (const held_rollout& each : rollout_.board.All()) {
     rollout_view view;
     view.state = each.state;
--- a/src/distribution/rollout_controller.h
+++ b/src/distribution/rollout_controller.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "distribution/record_exchange.h"
+#include "rollout/boot_clock.h"
 #include "rollout/conductor_lease.h"
 #include "rollout/rollout_status.h"
 #include "rollout/version_router.h"
@@ -35,6 +36,8 @@
   /// Null if operators are not told.
   rollout_status_writer* status = nullptr;
   rollout_bounds bounds;
+  /// Must count suspensions.
+  std::function<time_point()> now = BootNow;
 };
 
 /// Reports this daemon's evidence on rollouts to their conductors, and conducts a rollout itself
@@ -86,6 +89,7 @@
   void ReportIfDue(const held_rollout& held, job& own, time_point now);
   boost::asio::awaitable<void> SendReport(std::string service, std::string conductor);
   std::optional<std::size_t> CandidateRank(const std::string& service) const;
+  bool IsGone(const std::string& vm) const;
   void ObserveIfDue(const held_rollout& held, job& own, time_point now);
   boost::asio::awaitable<void> Observe(rollout_order order);
   void Conduct(const held_rollout& held, job& own, time_point now);
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -237,16 +237,15 @@
 }
 
 rollout_state FromWire(const wire::RolloutState& from) {
-  rollout_state to{
-      {from.service(), from.order(), from.target(), milliseconds(from.duration_ms())},
-      ClampEnum(from.phase(), rollout_phase::kRolledBack),
-      from.share(),
-      from.target_fraction(),
-      from.conductor(),
-      from.epoch(),
-      from.sequence(),
-      {},
-      from.reason()};
+  rollout_state to{{from.service(), from.order(), from.target(), milliseconds(from.duration_ms())},
+                   ClampEnum(from.phase(), rollout_phase::kRolledBack),
+                   from.share(),
+                   from.target_fraction(),
+                   from.conductor(),
+                   from.epoch(),
+                   from.sequence(),
+                   {},
+                   from.reason()};
   CopyFromWire(from.excluded(), to.excluded);
   return to;
 }
@@ -287,10 +286,19 @@
 }
 
 void FromWire(const wire::RolloutReport& from, rollout_report& to) {
-  to = {from.sender(),        from.incarnation(),     from.number(),   from.service(),
-        from.order(),         from.seen_epoch(),      from.seen_sequence(),
-        from.other_in_flight(), from.requests(),      from.exposed(),  from.grant_epoch(),
-        from.returned(),      {}};
+  to = {from.sender(),
+        from.incarnation(),
+        from.number(),
+        from.service(),
+        from.order(),
+        from.seen_epoch(),
+        from.seen_sequence(),
+        from.other_in_flight(),
+        from.requests(),
+        from.exposed(),
+        from.grant_epoch(),
+        from.returned(),
+        {}};
   for (const wire::RolloutCounts& each : from.counts()) {
     rollout_counts counts{each.ordered(), each.route(), {each.requests(), each.failures(), {}}};
     const std::size_t buckets = std::min<std::size_t>(each.times_size(), kTimeBuckets);
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -29,8 +29,9 @@
                                                             milliseconds timeout) = 0;
 
   /// Transports without rollouts need not support these messages.
-  virtual boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(
-      endpoint peer, rollout_report message, milliseconds timeout);
+  virtual boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(endpoint peer,
+                                                                             rollout_report message,
+                                                                             milliseconds timeout);
 };
 
 inline boost::asio::awaitable<result<rollout_report_reply>> peer_client::ReportRollout(
--- a/src/proxy/internal/version_evidence.cc
+++ b/src/proxy/internal/version_evidence.cc
@@ -9,8 +9,8 @@
   switch (attempt.outcome) {
     case attempt_outcome::kResponded:
     case attempt_outcome::kFailureResponse: {
-      const bool failed = attempt.response != nullptr &&
-                          attempt.response->get().result_int() >= kMinServerError;
+      const bool failed =
+          attempt.response != nullptr && attempt.response->get().result_int() >= kMinServerError;
       return failed ? evidence_outcome::kFailure : evidence_outcome::kSuccess;
     }
     case attempt_outcome::kLost:
@@ -40,8 +40,7 @@
 
 void RecordEvidence(version_router::attempt& evidence, const attempt_result& attempt,
                     time_point sent_at) {
-  evidence.OnOutcome(OutcomeOf(attempt),
-                     std::chrono::duration_cast<milliseconds>(Now() - sent_at));
+  evidence.OnOutcome(OutcomeOf(attempt), std::chrono::duration_cast<milliseconds>(Now() - sent_at));
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/rollout/boot_clock.h
+++ b/src/rollout/boot_clock.h
@@ -6,7 +6,8 @@
 
 namespace catkinmoor {
 
-/// A time on CLOCK_BOOTTIME, which also counts while the vm is suspended. Not comparable with Now().
+/// A time on CLOCK_BOOTTIME, which also counts while the vm is suspended. Not comparable with
+/// Now().
 inline time_point BootNow() {
   timespec now{};
   ::clock_gettime(CLOCK_BOOTTIME, &now);
--- a/src/rollout/conductor_lease.h
+++ b/src/rollout/conductor_lease.h
@@ -36,9 +36,11 @@
     kFinished,  ///< The rollout has ended, and its status is written.
   };
 
-  /// Decides on a row that was read for an order; nothing if there is no row.
+  /// Decides on a row that was read for an order; nothing if there is no row. A conductor that is
+  /// known to be gone may still renew the row, if it is cut off from the fleet and not from the
+  /// table. Its grants are then limited by its record, which a claim continues from.
   step Observe(const std::optional<conductor_row>& row, std::uint64_t order,
-               const std::string& self, time_point now);
+               const std::string& self, bool conductor_gone, time_point now);
 
   /// The row to claim with after Observe returned kClaim.
   conductor_row MakeClaim(const std::optional<conductor_row>& row, const rollout_order& order,
--- a/src/rollout/internal/conductor_lease.cc
+++ b/src/rollout/internal/conductor_lease.cc
@@ -20,7 +20,7 @@
 
 conductor_lease::step conductor_lease::Observe(const std::optional<conductor_row>& row,
                                                std::uint64_t order, const std::string& self,
-                                               time_point now) {
+                                               bool conductor_gone, time_point now) {
   if (!row) return step::kClaim;
   const rollout_record& record = row->record;
   if (record.order.number > order) return step::kWait;
@@ -32,7 +32,7 @@
   }
   // A row that names this daemon was written by it before it restarted or lost its lease.
   const bool expired = now - seen_at_ >= kTakeover;
-  return row->vm == self || expired ? step::kClaim : step::kWait;
+  return row->vm == self || expired || conductor_gone ? step::kClaim : step::kWait;
 }
 
 conductor_row conductor_lease::MakeClaim(const std::optional<conductor_row>& row,
--- a/src/rollout/internal/rollout_plan.cc
+++ b/src/rollout/internal/rollout_plan.cc
@@ -208,19 +208,18 @@
       state_.share = 0;
       return;
     case rollout_phase::kCanary: {
-      const double span = Seconds(std::min(
-          Part(kCanaryEnd, Deadline() - Elapsed(targets_at_)), kMaxCanary));
+      const double span =
+          Seconds(std::min(Part(kCanaryEnd, Deadline() - Elapsed(targets_at_)), kMaxCanary));
       const double wanted = kWantedResponses / std::max(1.0, rate * span);
       const bool begins = Seconds(now - phase_at_) < span / 4;
-      state_.share =
-          std::clamp(wanted, begins ? kFirstShare : kCanaryShare, kMaxCanaryShare);
+      state_.share = std::clamp(wanted, begins ? kFirstShare : kCanaryShare, kMaxCanaryShare);
       return;
     }
     case rollout_phase::kLoad: {
       const double available = Allowance() - static_cast<double>(Granted());
       const double burst = available / std::max(1.0, rate * kLoadBurstSeconds);
-      const double most = std::clamp(kMaxLoadRate / std::max(1.0, rate), kCanaryShare,
-                                     kMaxCanaryShare);
+      const double most =
+          std::clamp(kMaxLoadRate / std::max(1.0, rate), kCanaryShare, kMaxCanaryShare);
       state_.share = std::clamp(kSafeShare * bounds_.expose_share + burst, kCanaryShare, most);
       state_.target_fraction = kLoadConcentration * state_.share;
       return;
@@ -273,8 +272,8 @@
   if (ordered < needed) return false;
   if (needed <= kFewResponses) return true;
   for (const auto& [route, each] : evidence_) {
-    const bool used = static_cast<double>(each.others.requests) >
-                      kRouteShare * static_cast<double>(others);
+    const bool used =
+        static_cast<double>(each.others.requests) > kRouteShare * static_cast<double>(others);
     if (used && each.ordered.requests < kRouteResponses) return false;
   }
   return true;
@@ -284,8 +283,7 @@
   if (closing_sequence_ == 0) return false;
   std::set<std::string> closed;
   for (const auto& [key, entry] : entries_) {
-    const bool confirmed =
-        entry.seen_sequence >= closing_sequence_ && entry.other_in_flight == 0;
+    const bool confirmed = entry.seen_sequence >= closing_sequence_ && entry.other_in_flight == 0;
     if (confirmed) closed.insert(key.first);
   }
   return std::includes(closed.begin(), closed.end(), fleet.entries.begin(), fleet.entries.end());
@@ -322,9 +320,9 @@
   const milliseconds load_end = std::min(Part(kLoadEnd, usable), kMaxLoad);
   const milliseconds last_start = Part(kLastStart, usable);
   // After a change of the conductor, little time may be left.
-  const milliseconds open = std::clamp(
-      std::min(Part(kOpenPart, usable), Part(kLateOpenPart, Deadline() - elapsed)), kMinOpen,
-      kMaxOpen);
+  const milliseconds open =
+      std::clamp(std::min(Part(kOpenPart, usable), Part(kLateOpenPart, Deadline() - elapsed)),
+                 kMinOpen, kMaxOpen);
   const milliseconds in_phase = std::chrono::duration_cast<milliseconds>(now - phase_at_);
   const bool last = since >= last_start;
   const bool few_enough = last && HasEvidence(evidence_, kFewResponses);
@@ -364,7 +362,8 @@
       if (AllClosed(fleet)) {
         SetPhase(rollout_phase::kSucceeded, "all entries use the version only", now);
       } else if (late) {
-        SetPhase(rollout_phase::kSucceeded, "at the deadline, some entries have not confirmed", now);
+        SetPhase(rollout_phase::kSucceeded, "at the deadline, some entries have not confirmed",
+                 now);
       }
       break;
     }
--- a/src/rollout/internal/rollout_verdict.cc
+++ b/src/rollout/internal/rollout_verdict.cc
@@ -77,8 +77,8 @@
 }
 
 version_figures operator-(const version_figures& later, const version_figures& earlier) {
-  version_figures difference{later.requests - earlier.requests, later.failures - earlier.failures,
-                             {}};
+  version_figures difference{
+      later.requests - earlier.requests, later.failures - earlier.failures, {}};
   for (std::size_t i = 0; i < kTimeBuckets; ++i) {
     difference.times[i] = later.times[i] - earlier.times[i];
   }
--- a/src/rollout/internal/version_router.cc
+++ b/src/rollout/internal/version_router.cc
@@ -118,8 +118,7 @@
   const time_point now = now_();
   const double share = ShareFor(record, *held, now);
   if (share >= 1) {
-    const bool final_grace =
-        IsFinal(state.phase) && now - held->phase_heard_at < kFinalGrace;
+    const bool final_grace = IsFinal(state.phase) && now - held->phase_heard_at < kFinalGrace;
     return ordered.empty() && !final_grace ? others : ordered;
   }
   if (others.empty()) return ordered;
--- a/src/rollout/rollout_state.h
+++ b/src/rollout/rollout_state.h
@@ -41,13 +41,13 @@
 
 /// Phases of a rollout, in the order in which they are passed through.
 enum class rollout_phase {
-  kOrdered,    ///< No conductor has stated anything yet; the version gets nothing.
-  kWaiting,    ///< The version has no targets.
-  kCanary,     ///< Few requests, each of them granted by the conductor.
-  kLoad,       ///< As kCanary, but on few targets, so that each carries its later load.
-  kHalf,       ///< Proven; half of the requests.
-  kFull,       ///< All requests; entries that do not hear the conductor return to other versions.
-  kClosing,    ///< All requests for good; entries confirm that nothing goes to other versions.
+  kOrdered,  ///< No conductor has stated anything yet; the version gets nothing.
+  kWaiting,  ///< The version has no targets.
+  kCanary,   ///< Few requests, each of them granted by the conductor.
+  kLoad,     ///< As kCanary, but on few targets, so that each carries its later load.
+  kHalf,     ///< Proven; half of the requests.
+  kFull,     ///< All requests; entries that do not hear the conductor return to other versions.
+  kClosing,  ///< All requests for good; entries confirm that nothing goes to other versions.
   kSucceeded,
   kRolledBack,
 };
--- a/src/rollout/tests/rollout_plan_test.cc
+++ b/src/rollout/tests/rollout_plan_test.cc
@@ -14,11 +14,13 @@
 
 using options = simulated_rollout::options;
 
-/// Every second response is bad.
-bool Every(int n) {
-  static int count = 0;
-  return ++count % n == 0;
-}
+/// True at every n-th call.
+struct every {
+  int n = 2;
+  int calls = 0;
+
+  bool operator()() { return ++calls % n == 0; }
+};
 
 void RequireGood(simulated_rollout& subject, milliseconds duration) {
   subject.Run();
@@ -62,41 +64,44 @@
 
 // Failures that both versions have are no reason to roll back.
 Test(rollout_plan, with_an_old_version_that_fails_as_well_succeeds) {
-  simulated_rollout subject({}, [](bool, int, double, milliseconds) {
-    return simulated_response{Every(5), milliseconds(10)};
+  simulated_rollout subject({}, [fails = every{5}](bool, int, double, milliseconds) mutable {
+    return simulated_response{fails(), milliseconds(10)};
   });
   RequireGood(subject, milliseconds(12'000));
 }
 
 Test(rollout_plan, with_a_version_that_fails_rolls_back) {
   for (const double rate : {1500.0, 200.0, 40.0}) {
-    simulated_rollout subject({.rate = rate}, [](bool ordered, int, double, milliseconds) {
-      return simulated_response{ordered && Every(2), milliseconds(10)};
-    });
+    simulated_rollout subject({.rate = rate},
+                              [fails = every{}](bool ordered, int, double, milliseconds) mutable {
+                                return simulated_response{ordered && fails(), milliseconds(10)};
+                              });
     RequireBad(subject);
   }
 }
 
 Test(rollout_plan, with_a_version_that_is_slow_rolls_back) {
-  simulated_rollout subject({}, [](bool ordered, int, double, milliseconds) {
-    return simulated_response{false, milliseconds(ordered && Every(2) ? 80 : 10)};
+  simulated_rollout subject({}, [fails = every{}](bool ordered, int, double, milliseconds) mutable {
+    return simulated_response{false, milliseconds(ordered && fails() ? 80 : 10)};
   });
   RequireBad(subject);
 }
 
 Test(rollout_plan, with_a_version_that_fails_on_one_route_rolls_back) {
-  simulated_rollout subject({}, [](bool ordered, int route, double, milliseconds) {
-    return simulated_response{ordered && route == 1 && Every(2), milliseconds(10)};
-  });
+  simulated_rollout subject(
+      {}, [fails = every{}](bool ordered, int route, double, milliseconds) mutable {
+        return simulated_response{ordered && route == 1 && fails(), milliseconds(10)};
+      });
   RequireBad(subject);
 }
 
 // The earlier successes must not outweigh the failures.
 Test(rollout_plan, with_a_version_that_fails_some_seconds_later_rolls_back) {
   for (const int begin : {2'500, 4'000, 6'000}) {
-    simulated_rollout subject({}, [begin](bool ordered, int, double, milliseconds since) {
-      return simulated_response{ordered && since.count() > begin && Every(2), milliseconds(10)};
-    });
+    simulated_rollout subject(
+        {}, [begin, fails = every{}](bool ordered, int, double, milliseconds since) mutable {
+          return simulated_response{ordered && since.count() > begin && fails(), milliseconds(10)};
+        });
     RequireBad(subject);
   }
 }
@@ -104,9 +109,10 @@
 // The fault shows at three quarters of the usual requests per target, which a small share that is
 // divided among all targets never reaches.
 Test(rollout_plan, with_a_version_that_fails_under_load_rolls_back) {
-  simulated_rollout subject({}, [](bool ordered, int, double load, milliseconds) {
-    return simulated_response{ordered && load > 0.75 * 200 / 6 && Every(2), milliseconds(10)};
-  });
+  simulated_rollout subject(
+      {}, [fails = every{}](bool ordered, int, double load, milliseconds) mutable {
+        return simulated_response{ordered && load > 0.75 * 200 / 6 && fails(), milliseconds(10)};
+      });
   RequireBad(subject);
 }
 
@@ -179,9 +185,10 @@
     chosen.loss = *rc::gen::element(0.0, 0.1, 0.5);
     chosen.seed = *rc::gen::arbitrary<std::uint64_t>();
     const int failing = *rc::gen::element(2, 10, 1'000'000);
-    simulated_rollout subject(chosen, [failing](bool ordered, int, double, milliseconds) {
-      return simulated_response{ordered && Every(failing), milliseconds(10)};
-    });
+    simulated_rollout subject(
+        chosen, [fails = every{failing}](bool ordered, int, double, milliseconds) mutable {
+          return simulated_response{ordered && fails(), milliseconds(10)};
+        });
     const int takeovers = *rc::gen::inRange(0, 4);
     for (int i = 0; i < takeovers; ++i) {
       subject.Advance(milliseconds(*rc::gen::inRange(1, 30) * 100));
--- a/src/rollout/tests/simulated_rollout.h
+++ b/src/rollout/tests/simulated_rollout.h
@@ -93,7 +93,6 @@
   int exposed = 0;
   int exposed_at_end = 0;
   int bad = 0;
-  int exposed_while_unproven = 0;
   /// The greatest excess of the exposure over its bound while the version was unproven.
   double worst_excess = -1e9;
   int to_old_after_success = 0;
@@ -150,18 +149,17 @@
     const member_ptr target = allowed[random_() % allowed.size()];
     const bool ordered = target->target->labels.at(kVersionLabel) == "v2";
     const rollout_phase phase = plan_->State().phase;
+    proven_ = proven_ || (phase >= rollout_phase::kHalf && phase != rollout_phase::kRolledBack);
     const int route = std::uniform_real_distribution<>(0, 1)(random_) < 0.3 ? 1 : 0;
     auto& recent = recent_[target->vm];
     while (!recent.empty() && now_ - recent.front() > milliseconds(1'000)) recent.pop_front();
     recent.push_back(now_);
-    const auto response =
-        respond_(ordered, route, static_cast<double>(recent.size()), Since());
+    const auto response = respond_(ordered, route, static_cast<double>(recent.size()), Since());
     if (ordered) {
       ++exposed;
       const bool is_bad = response.failed || response.took > milliseconds(60);
       bad += is_bad ? 1 : 0;
-      if (phase < rollout_phase::kHalf || phase == rollout_phase::kRolledBack) {
-        ++exposed_while_unproven;
+      if (!proven_) {
         worst_excess = std::max(worst_excess, exposed - options_.bounds.expose_share * requests -
                                                   options_.bounds.expose_slack);
       }
@@ -170,8 +168,8 @@
     }
     version_router::attempt attempt(*from.router, "shop", "route-" + std::to_string(route), *target,
                                     UnixMilliseconds());
-    attempt.OnOutcome(
-        response.failed ? evidence_outcome::kFailure : evidence_outcome::kSuccess, response.took);
+    attempt.OnOutcome(response.failed ? evidence_outcome::kFailure : evidence_outcome::kSuccess,
+                      response.took);
   }
 
   void Tick() {
@@ -188,7 +186,8 @@
       if (changed || now_ - published_at_ >= milliseconds(250)) Publish();
     }
     for (auto& each : entries_) {
-      const bool due = now_ - each->reported_at >= ReportInterval() && each->router->HasNews("shop");
+      const bool due =
+          now_ - each->reported_at >= ReportInterval() && each->router->HasNews("shop");
       if (!due && !(Since().count() % 100 == 0 && each->router->IsReportUrgent("shop"))) continue;
       each->reported_at = now_;
       Report(*each);
@@ -206,6 +205,7 @@
   std::map<std::string, std::deque<time_point>> recent_;
   std::unique_ptr<rollout_plan> plan_;
   rollout_record record_;
+  bool proven_ = false;
   time_point recorded_at_{};
   time_point published_at_{};
 };
