--- a/src/administration/administration_service.h
+++ b/src/administration/administration_service.h
@@ -7,6 +7,7 @@
 
 #include "administration/team_registry.h"
 #include "distribution/record_exchange.h"
+#include "distribution/rollout_controller.h"
 #include "distribution/status_controller.h"
 #include "framework/http/message.h"
 #include "store/document_repository.h"
@@ -23,6 +24,7 @@
   std::function<bool()> ready;
   std::function<void()> drain;
   std::function<void()> refresh_metrics;
+  std::function<std::vector<rollout_view>()> rollouts = {};
 };
 
 /// The operators' HTTP interface of one daemon, versioned under /v1. Response bodies are JSON;
@@ -56,6 +58,7 @@
   boost::asio::awaitable<http::response> ListMembers(const operator_request& request);
   boost::asio::awaitable<http::response> ListQuarantine(const operator_request& request);
   boost::asio::awaitable<http::response> ReleaseQuarantine(const operator_request& request);
+  boost::asio::awaitable<http::response> GetRollout(const operator_request& request);
   boost::asio::awaitable<http::response> Drain(const operator_request& request);
   boost::asio::awaitable<http::response> Metrics(const operator_request& request);
   boost::asio::awaitable<http::response> Health(const operator_request& request);
--- a/src/administration/internal/administration_service.cc
+++ b/src/administration/internal/administration_service.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 
+#include "administration/rollout_json.h"
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
 
@@ -114,6 +115,7 @@
       {"GET", "/v1/members", true, &administration_service::ListMembers},
       {"GET", "/v1/quarantine", true, &administration_service::ListQuarantine},
       {"DELETE", "/v1/quarantine/*", true, &administration_service::ReleaseQuarantine},
+      {"GET", "/v1/rollouts/*", true, &administration_service::GetRollout},
       {"POST", "/v1/drain", true, &administration_service::Drain},
       {"GET", "/metrics", false, &administration_service::Metrics},
       {"GET", "/healthz", false, &administration_service::Health},
@@ -346,6 +348,17 @@
   co_return Json(200, {{"released", request.path_segment}});
 }
 
+asio::awaitable<http::response> administration_service::GetRollout(
+    const operator_request& request) {
+  if (dependencies_.rollouts) {
+    for (const rollout_view& each : dependencies_.rollouts()) {
+      if (each.state.order.service == request.path_segment) co_return Json(200, ToJson(each));
+    }
+  }
+  co_return ErrorResponse({error_kind::kNotFound, "find rollout", "",
+                           "no order is known for \"" + request.path_segment + "\""});
+}
+
 asio::awaitable<http::response> administration_service::Drain(const operator_request& request) {
   if (request.team != kAllTeams) {
     co_return ErrorResponse({error_kind::kRefused, "drain", "", "only team * may drain a daemon"});
--- a/src/app_catkinctl/main.cc
+++ b/src/app_catkinctl/main.cc
@@ -225,6 +225,28 @@
     });
   }
 
+  /// The evidence is known to the conductor only, which the other daemons name.
+  int Rollout(const std::string& service) {
+    return Print(client_.Call("GET", "/v1/rollouts/" + service), [](const bj::value& body) {
+      const bool conducts = body.as_object().at("conducts").as_bool();
+      std::cout << FieldText(body, "service") << " to " << FieldText(body, "target") << "  "
+                << FieldText(body, "phase") << "  share " << FieldText(body, "share")
+                << "\nreason     " << FieldText(body, "reason") << "\nconductor  "
+                << FieldText(body, "conductor") << ", heard " << FieldText(body, "heard_ms_ago")
+                << " ms ago\n";
+      if (!conducts) return;
+      std::cout << "requests   " << FieldText(body, "requests") << ", to the target "
+                << FieldText(body, "exposed") << ", granted " << FieldText(body, "granted") << "\n";
+      for (const bj::value& each : body.as_object().at("routes").as_array()) {
+        const bj::value& target = each.as_object().at("target");
+        const bj::value& others = each.as_object().at("others");
+        std::cout << "route " << FieldText(each, "route") << "  bad " << FieldText(target, "bad")
+                  << " of " << FieldText(target, "requests") << ", other versions "
+                  << FieldText(others, "bad") << " of " << FieldText(others, "requests") << "\n";
+      }
+    });
+  }
+
   int Drain() {
     return Print(client_.Call("POST", "/v1/drain"),
                  [](const bj::value&) { std::cout << "draining\n"; });
@@ -407,6 +429,10 @@
   quarantine->add_option("--release", options.change_id, "Fingerprint of the request to release");
   quarantine->callback([&] { code = MakeRunner(common).Quarantine(options.change_id); });
 
+  auto* rollout = app.add_subcommand("rollout", "State and evidence of a service's rollout");
+  rollout->add_option("service", options.service, "Service")->required();
+  rollout->callback([&] { code = MakeRunner(common).Rollout(options.service); });
+
   auto* drain = app.add_subcommand("drain", "Drain and stop the first daemon named");
   drain->callback([&] { code = MakeRunner(common).Drain(); });
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -135,7 +135,8 @@
         target_(control_context_, self_, exchange_, gate_, departures_, settings_.target_lease),
         teams_(settings_.token_key, settings_.teams),
         administration_({deps_, repository_, exchange_, status_, teams_, [this] { return Ready(); },
-                         [this] { BeginStop(); }, [this] { RefreshMetrics(); }}),
+                         [this] { BeginStop(); }, [this] { RefreshMetrics(); },
+                         [this] { return rollout_.View(); }}),
         administration_server_(
             control_context_, {.body_bytes = kMaxAdministrationBodyBytes},
             [this](http::request message) { return administration_.Handle(std::move(message)); }),
--- a/src/distribution/internal/rollout_controller.cc
+++ b/src/distribution/internal/rollout_controller.cc
@@ -234,6 +234,11 @@
   }
   if (step == conductor_lease::step::kClaim) {
     conductor_row claim = own.lease.MakeClaim(row, order, self, now);
+    // The record may be old if the table was away.
+    if (heard && heard->state.order.number == order.number) {
+      const auto known_for = std::chrono::duration_cast<milliseconds>(now - heard->order_heard_at);
+      claim.record.elapsed = std::max(claim.record.elapsed, known_for);
+    }
     // The end of a failed rollout is spread before it is in the row, and remains the end.
     const auto known = rollout_.board.Find(order.service);
     if (known && known->state.order.number == order.number && IsFinal(known->state.phase)) {
