--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -463,7 +463,8 @@
   request_ledger ledger_;
   quarantine_board quarantine_;
   rollout_board rollouts_;
-  version_router versions_{rollouts_, settings_.region, BootNow, random_device_()};
+  version_router versions_{rollouts_, settings_.region, BootNow, random_device_(),
+                           version_router::MaxSilenceFor(settings_.rollout)};
   source_freshness freshness_{settings_.distribution.max_source_age};
   distribution_dependencies deps_{documents_, members_, self_, freshness_, quarantine_, metrics_};
   std::unique_ptr<spread_strategy> strategy_;
--- a/src/distribution/tests/rollout_controller_test.cc
+++ b/src/distribution/tests/rollout_controller_test.cc
@@ -71,9 +71,9 @@
   explicit fleet(rollout_bounds bounds = {0.1, 50, milliseconds(5'000)}) {
     peers.max_spread_messages = 1'000'000;
     for (std::uint16_t i = 0; i < 3; ++i) {
-      parts.push_back(std::make_unique<daemon_part>(
-          platform, peers, status, "vm-" + std::to_string(i), static_cast<std::uint16_t>(10 + i),
-          bounds));
+      parts.push_back(std::make_unique<daemon_part>(platform, peers, status,
+                                                    "vm-" + std::to_string(i),
+                                                    static_cast<std::uint16_t>(10 + i), bounds));
     }
     for (auto& each : parts) {
       for (auto& other : parts) {
@@ -145,7 +145,8 @@
 Test(rollout_controller, with_an_order_has_one_conductor_that_all_hear) {
   fleet subject;
   subject.Order(7, "v2");
-  cr_assert(subject.RunUntil(milliseconds(3'000), [&] { return !subject.status.outcomes.empty(); }));
+  cr_assert(
+      subject.RunUntil(milliseconds(3'000), [&] { return !subject.status.outcomes.empty(); }));
   subject.Run(milliseconds(500));
   cr_assert_eq(subject.CountConductors(), 1);
   for (auto& each : subject.parts) {
@@ -210,8 +211,7 @@
     const auto held = subject.parts[2]->board.Find("shop");
     return held && held->state.order.target == "v3" && !held->state.conductor.empty();
   }));
-  cr_assert(subject.parts[2]->board.Find("shop")->state.excluded ==
-            std::vector<std::string>{"v2"});
+  cr_assert(subject.parts[2]->board.Find("shop")->state.excluded == std::vector<std::string>{"v2"});
 }
 
 // No targets: rolled back at the deadline, the status is written once, and then the table is left
--- a/src/rollout/internal/version_router.cc
+++ b/src/rollout/internal/version_router.cc
@@ -37,8 +37,12 @@
 }  // namespace
 
 version_router::version_router(const rollout_board& board, std::string region, clock now,
-                               std::uint64_t seed)
-    : board_(board), region_(std::move(region)), now_(std::move(now)), random_(seed) {}
+                               std::uint64_t seed, milliseconds max_silence)
+    : board_(board),
+      region_(std::move(region)),
+      now_(std::move(now)),
+      max_silence_(max_silence),
+      random_(seed) {}
 
 version_router::service_record& version_router::RecordFor(const held_rollout& held) {
   service_record& record = services_[held.state.order.service];
@@ -66,7 +70,7 @@
   if (state.phase < rollout_phase::kClosing) record.closed = false;
   // Once this entry may have confirmed that it uses no other version, those may stop at any moment.
   if (record.closed) return 1;
-  if (state.conductor.empty() || now - held.heard_at > kMaxSilence) return 0;
+  if (state.conductor.empty() || now - held.heard_at > max_silence_) return 0;
   return state.share;
 }
 
--- a/src/rollout/tests/rollout_plan_test.cc
+++ b/src/rollout/tests/rollout_plan_test.cc
@@ -70,6 +70,16 @@
   RequireGood(subject, milliseconds(12'000));
 }
 
+// Targets that have just started and say so are slow for some seconds.
+Test(rollout_plan, with_cold_targets_succeeds) {
+  simulated_rollout subject({.cold = milliseconds(3'000)},
+                            [](bool ordered, int, double, milliseconds since) {
+                              const bool cold = ordered && since < milliseconds(3'500);
+                              return simulated_response{false, milliseconds(cold ? 90 : 10)};
+                            });
+  RequireGood(subject, milliseconds(12'000));
+}
+
 Test(rollout_plan, with_a_version_that_fails_rolls_back) {
   for (const double rate : {1500.0, 200.0, 40.0}) {
     simulated_rollout subject({.rate = rate},
--- a/src/rollout/tests/simulated_rollout.h
+++ b/src/rollout/tests/simulated_rollout.h
@@ -28,6 +28,8 @@
     double rate = 200;
     milliseconds duration{12'000};
     milliseconds targets_ready_at{500};
+    /// Time after which the targets of the new version state that they are warm.
+    milliseconds cold{0};
     rollout_bounds bounds{0.1, 50, milliseconds(5'000)};
     /// Chance that a message between an entry and the conductor, or its answer, is lost.
     double loss = 0;
@@ -53,6 +55,8 @@
       record.region = "r";
       record.target = target_announcement{"shop", record.vm};
       record.target->labels[kVersionLabel] = i < options_.targets ? "v1" : "v2";
+      const bool is_new = i >= options_.targets;
+      if (is_new) record.target->ready_at_ms = WallMs(options_.targets_ready_at + options_.cold);
       targets_.push_back(std::make_shared<member_record>(record));
     }
     order_ = {"shop", 7, "v2", options_.duration};
@@ -111,6 +115,10 @@
     return version_router::ReportInterval(plan_->State().phase, entries_.size());
   }
 
+  static std::uint64_t WallMs(milliseconds since) {
+    return 1'000'000 + static_cast<std::uint64_t>(since.count());
+  }
+
   bool Lost() { return std::uniform_real_distribution<>(0, 1)(random_) < options_.loss; }
 
   void Record() {
@@ -167,7 +175,7 @@
       ++to_old_after_success;
     }
     version_router::attempt attempt(*from.router, "shop", "route-" + std::to_string(route), *target,
-                                    UnixMilliseconds());
+                                    WallMs(Since()));
     attempt.OnOutcome(response.failed ? evidence_outcome::kFailure : evidence_outcome::kSuccess,
                       response.took);
   }
--- a/src/rollout/version_router.h
+++ b/src/rollout/version_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,7 +35,14 @@
   static constexpr milliseconds kFinalGrace{30'000};
 
   /// The clock must count the time of a suspension, and be that of the board.
-  version_router(const rollout_board& board, std::string region, clock now, std::uint64_t seed);
+  version_router(const rollout_board& board, std::string region, clock now, std::uint64_t seed,
+                 milliseconds max_silence = kMaxSilence);
+
+  /// The silence after which an entry that was cut off has stopped to use a version in time for
+  /// the bound on rolling back, with a reserve for the verdict.
+  static milliseconds MaxSilenceFor(const rollout_bounds& bounds) {
+    return std::min(kMaxSilence, bounds.rollback * 2 / 5);
+  }
 
   /// Whether any rollout has been heard of; the other functions have no effect before.
   bool IsActive() const { return !board_.IsEmpty(); }
@@ -125,6 +133,7 @@
   const rollout_board& board_;
   std::string region_;
   clock now_;
+  milliseconds max_silence_;
   std::mutex mutex_;
   std::mt19937_64 random_;
   std::map<std::string, service_record> services_;
