--- a/src/store/document_source.h
+++ b/src/store/document_source.h
@@ -7,6 +7,7 @@
 #include "document/document.h"
 #include "framework/base/clock.h"
 #include "framework/base/result.h"
+#include "rollout/rollout_state.h"
 
 namespace catkinmoor {
 
@@ -18,6 +19,8 @@
   /// Whether the source was restored from an older copy since the last update. Its positions begin
   /// anew, and the documents are all that it has.
   bool restarted = false;
+  /// The newest order of each rollout that the source returned.
+  std::vector<rollout_order> orders = {};
 
   friend bool operator==(const source_update&, const source_update&) = default;
 };
