--- a/src/rollout/tests/rollout_plan_test.cc
+++ b/src/rollout/tests/rollout_plan_test.cc
@@ -107,15 +107,18 @@
 
 // The earlier successes must not outweigh the failures.
 Test(rollout_plan, with_a_version_that_fails_some_seconds_later_rolls_back) {
-  for (const int begin : {2'500, 4'000, 6'000}) {
-    simulated_rollout subject(
-        {}, [begin, fails = every{}](bool ordered, int, double, milliseconds since) mutable {
-          return simulated_response{ordered && since.count() > begin && fails(), milliseconds(10)};
-        });
-    RequireBad(subject);
+  for (const double rate : {1500.0, 200.0}) {
+    for (const int begin : {2'500, 4'000, 6'000}) {
+      simulated_rollout subject(
+          {.targets = static_cast<int>(rate / 30), .rate = rate},
+          [begin, fails = every{}](bool ordered, int, double, milliseconds since) mutable {
+            return simulated_response{ordered && since.count() > begin && fails(),
+                                      milliseconds(10)};
+          });
+      RequireBad(subject);
+    }
   }
 }
-
 // The fault shows at three quarters of the usual requests per target, which a small share that is
 // divided among all targets never reaches.
 Test(rollout_plan, with_a_version_that_fails_under_load_rolls_back) {
@@ -134,6 +137,32 @@
   cr_assert_leq(subject.Plan().Exposed(), static_cast<std::uint64_t>(subject.exposed));
 }
 
+// A report that arrives after a later one must not confirm that nothing is in progress any more.
+Test(rollout_plan, with_a_late_report_keeps_what_a_later_one_stated) {
+  const rollout_order order{"shop", 7, "v2", milliseconds(12'000)};
+  const time_point now(std::chrono::hours(1));
+  rollout_plan plan({order, rollout_phase::kClosing}, {0.1, 50, milliseconds(5'000)}, "c", 1, now);
+  const rollout_state closing = plan.NextState();
+  rollout_report report;
+  report.sender = "a";
+  report.service = "shop";
+  report.order = 7;
+  report.seen_epoch = closing.epoch;
+  report.seen_sequence = closing.sequence;
+  report.number = 2;
+  report.other_in_flight = 1;
+  plan.OnReport(report, now);
+  report.number = 1;
+  report.other_in_flight = 0;
+  plan.OnReport(report, now);
+  const rollout_fleet fleet{2, {"a"}};
+  cr_assert(!plan.Step(fleet, now));
+  report.number = 3;
+  plan.OnReport(report, now);
+  cr_assert(plan.Step(fleet, now));
+  cr_assert(plan.State().phase == rollout_phase::kSucceeded);
+}
+
 // The conductor dies, and the next takes over from its record 4 s later.
 Test(rollout_plan, with_a_successor_continues_and_ends_in_time) {
   for (const int dies_at : {2'000, 6'000, 8'500}) {
