--- a/src/distribution/internal/rollout_controller.cc
+++ b/src/distribution/internal/rollout_controller.cc
@@ -94,6 +94,9 @@
 
 void rollout_controller::Tick(const held_rollout& held, time_point now) {
   job& own = jobs_[held.state.order.service];
+  deps_.metrics.SetGauge("catkinmoor_rollout_heard_age_seconds",
+                         std::chrono::duration<double>(now - held.heard_at).count(),
+                         {{"service", held.state.order.service}});
   ReportIfDue(held, own, now);
   if (own.plan != nullptr) {
     Conduct(held, own, now);
