Admit requests with keys only by recent proof that the keys are valid

Cause: a daemon that is cut off, frozen or refused by the store went on admitting keys that had been removed, for as long as it lasted.

Change: key_freshness decides until when keys admit requests, from the moments (on CLOCK_BOOTTIME) at which this daemon asked the store or another daemon that answered. Daemons that are no readers ask one of their region with the new rpc Confirm, then the next candidates, then read the store themselves. The entry checks the proof and the key at admission and before each attempt, and sends the time left to the gate, which refuses calls that waited past it.

A substitute that relies on readers alone (source_max_age_ms 0) no longer retries without a pause where a bound is set. DigestKey's lookup is now public as FindWorkspace.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -18,6 +18,7 @@
 #include "daemon/stop_schedule.h"
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
+#include "distribution/key_proof_controller.h"
 #include "distribution/membership_controller.h"
 #include "framework/base/digest.h"
 #include "framework/http/client.h"
@@ -105,9 +106,11 @@
                 settings_.distribution, random_device_()),
         join_(control_context_, deps_, *platform_, peers_, exchange_, source_,
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
+        key_proof_(control_context_, deps_, peers_, exchange_, *strategy_, random_device_()),
         status_(deps_, peers_),
         workers_(static_cast<std::size_t>(settings_.workers)),
-        entry_(workers_, {documents_, members_, self_, loads_, budget_, quarantine_, metrics_},
+        entry_(workers_,
+               {documents_, members_, self_, loads_, budget_, quarantine_, metrics_, key_proofs_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -183,6 +186,9 @@
   asio::awaitable<fence_reply> OnFence(fence_request message) override {
     co_return fence_reply{gate_.Fence(message)};
   }
+  asio::awaitable<confirm_reply> OnConfirm(confirm_request message) override {
+    return key_proof_.OnConfirm(std::move(message));
+  }
 
  private:
   std::vector<result<done>> ListenAll() {
@@ -285,6 +291,7 @@
     entry_.SetReady(true);
     asio::co_spawn(control_context_, membership_.Run(), asio::detached);
     asio::co_spawn(control_context_, source_.Run(), asio::detached);
+    asio::co_spawn(control_context_, key_proof_.Run(), asio::detached);
     asio::co_spawn(control_context_, join_.MaintainRendezvousRecord(), asio::detached);
     asio::co_spawn(control_context_, CleanUpPeriodically(), asio::detached);
     if (settings_.distribution.max_witness_wait.count() > 0) {
@@ -400,6 +407,7 @@
     reload_timer_.cancel();
     membership_.Stop();
     source_.Stop();
+    key_proof_.Stop();
     join_.Stop();
     target_.Stop();
     cleanup_timer_.cancel();
@@ -430,6 +438,10 @@
     metrics_.SetGauge("catkinmoor_ready", join_.Ready() ? 1 : 0);
     metrics_.SetGauge("catkinmoor_source_confirmed_age_seconds",
                       std::chrono::duration<double>(freshness_.Age(Now())).count());
+    if (key_proofs_.IsBounded() && key_proofs_.ProvedAt()) {
+      metrics_.SetGauge("catkinmoor_key_proof_age_seconds",
+                        std::chrono::duration<double>(key_proofs_.Age(BootNow())).count());
+    }
   }
 
   daemon_settings settings_;
@@ -448,7 +460,9 @@
   request_ledger ledger_;
   quarantine_board quarantine_;
   source_freshness freshness_{settings_.distribution.max_source_age};
-  distribution_dependencies deps_{documents_, members_, self_, freshness_, quarantine_, metrics_};
+  key_freshness key_proofs_{settings_.distribution.key_revocation_bound};
+  distribution_dependencies deps_{documents_,  members_, self_,      freshness_,
+                                  quarantine_, metrics_, key_proofs_};
   std::unique_ptr<spread_strategy> strategy_;
   http::client http_client_{translation_};
   std::unique_ptr<platform_client> platform_;
@@ -459,6 +473,7 @@
   membership_controller membership_;
   source_controller source_;
   join_controller join_;
+  key_proof_controller key_proof_;
   status_controller status_;
   worker_pool workers_;
   entry_proxy entry_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -29,7 +29,7 @@
 }};
 
 using ds = distribution_settings;
-const std::array<field<ds>, 12> kDistributionFields = {{
+const std::array<field<ds>, 13> kDistributionFields = {{
     {"strategy", &ds::strategy, "How updates are distributed: tree, gossip or poll."},
     {"probe_interval_ms", &ds::probe_interval, "Time between probes of a neighbour.", false, 50,
      kMaxTimeMs},
@@ -47,6 +47,10 @@
      "Time without a confirmation from a reader of the source after which a daemon reads the "
      "source itself; 0 always relies on the readers.",
      false, 0, kMaxTimeMs},
+    {"key_revocation_ms", &ds::key_revocation_bound,
+     "Time since a key's removal after which it must admit no request: without proof that its keys "
+     "are younger than that, a daemon refuses requests with keys; 0 for no bound.",
+     false, 0, kMaxTimeMs},
     {"witness_wait_ms", &ds::max_witness_wait,
      "Time after which a version comes in force without a witness; 0 always waits for a witness.",
      false, 0, kMaxTimeMs},
--- a/src/distribution/distribution_settings.h
+++ b/src/distribution/distribution_settings.h
@@ -17,6 +17,8 @@
   /// Time without a confirmation from a reader of the source after which a daemon reads the source
   /// itself; 0 always relies on the readers.
   milliseconds max_source_age{5'000};
+  /// Time since a key's removal after which it must admit no request; 0 for no bound.
+  milliseconds key_revocation_bound{0};
   /// Time after which a version is put in force without a witness; 0 waits for one indefinitely.
   milliseconds max_witness_wait{0};
   /// Whether a read of the source alone returns every version that was ever in force, so that a
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <algorithm>
 
+#include "distribution/key_proof_controller.h"
 #include "framework/logging/log.h"
 
 namespace catkinmoor {
@@ -16,6 +17,14 @@
 constexpr milliseconds kMaxRetryDelay{8'000};
 /// The first read as a reader returns at once, so that other daemons soon hear its confirmation.
 constexpr milliseconds kFirstReadWait{1};
+/// Shares of the bound on the revocation of keys after which a daemon reads the source to prove
+/// that its keys are valid, if no reader is heard to. The standby candidates come first; the others
+/// then ask them. All leave enough time for a read that is not answered.
+constexpr double kStandbyReadShare = 0.42;
+constexpr double kOwnReadShare = 0.56;
+constexpr double kOwnReadJitterShare = 0.1;
+/// Longest delay between two failed reads of a daemon that needs a proof.
+constexpr double kProofRetryShare = 0.3;
 
 }  // namespace
 
@@ -41,10 +50,30 @@
   if (strategy_.ReadsSource(*deps_.members.View(), deps_.self.Get())) {
     return reading_role::kSelected;
   }
-  const bool needs_substitute = strategy_.SpreadsConfirmations() && deps_.freshness.IsStale(Now());
+  const bool needs_substitute =
+      (strategy_.SpreadsConfirmations() && deps_.freshness.IsStale(Now())) ||
+      BootNow() >= ProofReadDue();
   return needs_substitute ? reading_role::kSubstitute : reading_role::kNone;
 }
 
+milliseconds source_controller::SubstituteRetryDelay() const {
+  if (!deps_.key_proofs.IsBounded()) return settings_.max_source_age;
+  const auto proof_delay =
+      std::chrono::duration_cast<milliseconds>(kProofRetryShare * settings_.key_revocation_bound);
+  const bool relies_on_readers = settings_.max_source_age.count() == 0;
+  return relies_on_readers ? proof_delay : std::min(proof_delay, settings_.max_source_age);
+}
+
+boot_time_point source_controller::ProofReadDue() const {
+  if (!deps_.key_proofs.IsBounded()) return boot_time_point::max();
+  const member_record self = deps_.self.Get();
+  const auto candidates = Readers(*deps_.members.View(), self.region, kProofCandidates);
+  const bool is_standby = std::any_of(candidates.begin(), candidates.end(),
+                                      [&](const member_ptr& each) { return each->vm == self.vm; });
+  const double share = is_standby ? kStandbyReadShare : kOwnReadShare + proof_delay_share_;
+  return deps_.key_proofs.OwnReadDue(share);
+}
+
 milliseconds source_controller::Jittered(milliseconds duration, int min_percent, int max_percent) {
   std::uniform_int_distribution<std::int64_t> percent(min_percent, max_percent);
   return duration * percent(random_) / 100;
@@ -57,6 +86,13 @@
     const time_point stale_at = deps_.freshness.StaleAt();
     if (stale_at < next) next = stale_at + Jittered(settings_.max_source_age, 0, 15);
   }
+  const boot_time_point now = BootNow();
+  const boot_time_point proof_due = ProofReadDue();
+  if (role == reading_role::kNone && proof_due <= now) {
+    next = Now();
+  } else if (role == reading_role::kNone && proof_due != boot_time_point::max()) {
+    next = std::min(next, Now() + std::chrono::ceil<milliseconds>(proof_due - now));
+  }
   timer_.expires_at(next);
   co_await timer_.async_wait(kAwait);
 }
@@ -87,6 +123,7 @@
     delay = settings_.source_poll_interval;
     if (role == reading_role::kNone) {
       failing = false;
+      proof_delay_share_ = std::uniform_real_distribution<>(0, kOwnReadJitterShare)(random_);
       continue;
     }
     const bool is_selected = role == reading_role::kSelected;
@@ -103,7 +140,7 @@
     logging::Warning("source read failed; next read delayed", Failure(read));
     failing = true;
     // All daemons lack a confirmation while the source is down for everyone.
-    delay = is_selected ? std::min(delay * 2, kMaxRetryDelay) : settings_.max_source_age;
+    delay = is_selected ? std::min(delay * 2, kMaxRetryDelay) : SubstituteRetryDelay();
   }
 }
 
@@ -115,6 +152,8 @@
     if (!Ok(read)) co_return Failure(read);
     if (Value(read)) continue;
     deps_.freshness.OnConfirmed(Now());
+    // As above, so that a daemon that has just joined waits for the answers of readers.
+    deps_.key_proofs.OnReaderHeard(BootNow());
     co_return position_.load();
   }
 }
@@ -122,11 +161,15 @@
 asio::awaitable<result<bool>> source_controller::ReadOnce(milliseconds wait, spread_range range) {
   deps_.metrics.IncrementCounter("catkinmoor_source_reads_total");
   const std::uint64_t previous = position_;
+  const boot_time_point asked_at = BootNow();
   auto update = co_await source_.FetchUpdate(previous, wait);
   if (!Ok(update)) co_return Failure(update);
   const time_point read_at = Now();
   exchange_.SpreadSourceRead(OfferAll(std::move(Value(update).documents)), range, read_at);
   position_ = std::max(position_.load(), Value(update).position);
+  // A long poll without a change proves the state only as of when it was sent. The documents are
+  // held by now.
+  deps_.key_proofs.OnOwnRead(asked_at);
   co_return position_ > previous;
 }
 
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -16,6 +16,7 @@
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
 #include "peer/peer_transport.h"
+#include "workspace/key_freshness.h"
 
 namespace catkinmoor {
 
@@ -27,6 +28,7 @@
   source_freshness& freshness;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  key_freshness& key_proofs;
 };
 
 /// Exchanges documents and member records between daemons. Updates are spread by the strategy;
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -38,6 +38,12 @@
   };
 
   reading_role CurrentRole() const;
+
+  /// When this daemon has to read the source for a proof about keys, as no other is heard to.
+  boot_time_point ProofReadDue() const;
+
+  /// Delay after a failed read by a daemon that is not one of the readers.
+  milliseconds SubstituteRetryDelay() const;
   boost::asio::awaitable<void> WaitForNextRead(reading_role role, milliseconds delay);
   boost::asio::awaitable<result<bool>> ReadOnce(milliseconds wait, spread_range range);
   std::vector<document_version> OfferAll(std::vector<document_version> documents);
@@ -54,6 +60,8 @@
   boost::asio::io_context& context_;
   std::mt19937_64 random_;
   boost::asio::steady_timer timer_;
+  /// Random part of the delay of ProofReadDue, drawn anew when other daemons read the source.
+  double proof_delay_share_ = 0;
   std::atomic<std::uint64_t> position_ = 0;
   std::atomic<bool> stopping_ = false;
 };
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -174,9 +174,12 @@
   return {ClampEnum(from.reach(), spread_range::kRingSegment), from.last()};
 }
 
+std::uint32_t AgeToWire(milliseconds age) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.count(), 0, UINT32_MAX));
+}
+
 void ToWire(const source_confirmation& from, wire::SourceConfirmation& to) {
-  const auto age = std::chrono::ceil<milliseconds>(Now() - from.confirmed_at).count();
-  to.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX)));
+  to.set_age_ms(AgeToWire(std::chrono::ceil<milliseconds>(Now() - from.confirmed_at)));
   to.set_document_hash(from.document_hash);
   to.set_last_change(from.last_change);
 }
@@ -190,6 +193,23 @@
   for (const auto& each : from) ToWire(each, *to.Add());
 }
 
+template <typename WireList>
+void SummariesToWire(const std::vector<document_summary>& from, WireList& to) {
+  for (const document_summary& each : from) {
+    wire::DocumentSummary& summary = *to.Add();
+    summary.set_service(each.service);
+    summary.set_version(each.version);
+    summary.set_digest(HexToBytes(each.digest));
+  }
+}
+
+template <typename WireList>
+void SummariesFromWire(const WireList& from, std::vector<document_summary>& to) {
+  for (const wire::DocumentSummary& each : from) {
+    to.push_back({each.service(), each.version(), BytesToHex(each.digest())});
+  }
+}
+
 template <typename WireList>
 void DocumentsFromWire(const WireList& from, std::vector<document_version>& to) {
   for (const wire::Document& each : from) {
@@ -300,12 +320,7 @@
 void ToWire(const compare_reply& from, wire::CompareReply& to) {
   CopyToWire(from.document_buckets, *to.mutable_document_buckets());
   CopyToWire(from.member_buckets, *to.mutable_member_buckets());
-  for (const document_summary& each : from.documents) {
-    wire::DocumentSummary& summary = *to.add_documents();
-    summary.set_service(each.service);
-    summary.set_version(each.version);
-    summary.set_digest(HexToBytes(each.digest));
-  }
+  SummariesToWire(from.documents, *to.mutable_documents());
   for (const member_summary& each : from.members) {
     wire::MemberSummary& summary = *to.add_members();
     summary.set_vm(each.vm);
@@ -316,9 +331,7 @@
 void FromWire(const wire::CompareReply& from, compare_reply& to) {
   CopyFromWire(from.document_buckets(), to.document_buckets);
   CopyFromWire(from.member_buckets(), to.member_buckets);
-  for (const wire::DocumentSummary& each : from.documents()) {
-    to.documents.push_back({each.service(), each.version(), BytesToHex(each.digest())});
-  }
+  SummariesFromWire(from.documents(), to.documents);
   for (const wire::MemberSummary& each : from.members()) {
     to.members.push_back({each.vm(), FromWire(each.version())});
   }
@@ -411,4 +424,29 @@
   to.fate = ClampEnum(from.fate(), request_fate::kResponded);
 }
 
+void ToWire(const confirm_request& from, wire::ConfirmRequest& to) {
+  to.set_sender(from.sender);
+  to.set_recipient(from.recipient);
+  to.set_document_hash(from.document_hash);
+}
+
+void FromWire(const wire::ConfirmRequest& from, confirm_request& to) {
+  to = {from.sender(), from.recipient(), from.document_hash()};
+}
+
+void ToWire(const confirm_reply& from, wire::ConfirmReply& to) {
+  to.set_known(from.known);
+  to.set_age_ms(AgeToWire(from.age));
+  to.set_reads_source(from.reads_source);
+  to.set_document_hash(from.document_hash);
+  to.set_last_change(from.last_change);
+  SummariesToWire(from.documents, *to.mutable_documents());
+}
+
+void FromWire(const wire::ConfirmReply& from, confirm_reply& to) {
+  to = {from.known(),         milliseconds(from.age_ms()), from.reads_source(),
+        from.document_hash(), from.last_change(),          {}};
+  SummariesFromWire(from.documents(), to.documents);
+}
+
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/internal/convert.h
+++ b/src/peer/internal/convert.h
@@ -19,6 +19,8 @@
 void ToWire(const gather_reply& from, wire::GatherReply& to);
 void ToWire(const fence_request& from, wire::FenceRequest& to);
 void ToWire(const fence_reply& from, wire::FenceReply& to);
+void ToWire(const confirm_request& from, wire::ConfirmRequest& to);
+void ToWire(const confirm_reply& from, wire::ConfirmReply& to);
 
 void FromWire(const wire::SpreadRequest& from, spread_request& to);
 void FromWire(const wire::SpreadReply& from, spread_reply& to);
@@ -32,5 +34,7 @@
 void FromWire(const wire::GatherReply& from, gather_reply& to);
 void FromWire(const wire::FenceRequest& from, fence_request& to);
 void FromWire(const wire::FenceReply& from, fence_reply& to);
+void FromWire(const wire::ConfirmRequest& from, confirm_request& to);
+void FromWire(const wire::ConfirmReply& from, confirm_reply& to);
 
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/internal/grpc_transport.cc
+++ b/src/peer/internal/grpc_transport.cc
@@ -210,6 +210,16 @@
       });
 }
 
+asio::awaitable<result<confirm_reply>> grpc_peer_client::Confirm(endpoint address,
+                                                                 confirm_request message,
+                                                                 milliseconds timeout) {
+  return state_->Call<wire::ConfirmReply, confirm_reply, wire::ConfirmRequest>(
+      "confirm", std::move(address), std::move(message), timeout,
+      [](auto* stub, auto* context, auto* request, auto* reply, auto on_done) {
+        stub->async()->Confirm(context, request, reply, std::move(on_done));
+      });
+}
+
 struct grpc_peer_server::state : wire::PeerService::CallbackService {
   state(asio::io_context& io, peer_service& handler) : context(io), service(handler) {}
 
@@ -272,6 +282,11 @@
                                   wire::FenceReply* reply) override {
     return Serve(call, request, reply, &peer_service::OnFence);
   }
+  grpc::ServerUnaryReactor* Confirm(grpc::CallbackServerContext* call,
+                                    const wire::ConfirmRequest* request,
+                                    wire::ConfirmReply* reply) override {
+    return Serve(call, request, reply, &peer_service::OnConfirm);
+  }
 };
 
 grpc_peer_server::grpc_peer_server(asio::io_context& context, peer_service& service)
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -198,4 +198,31 @@
   friend bool operator==(const fence_reply&, const fence_reply&) = default;
 };
 
+/// Asks a daemon how long ago its documents were known to be the newest of the source.
+struct confirm_request {
+  std::string sender;
+  /// The vm that is asked.
+  std::string recipient;
+  /// Hash over the documents that the sender holds.
+  std::uint64_t document_hash = 0;
+
+  friend bool operator==(const confirm_request&, const confirm_request&) = default;
+};
+
+struct confirm_reply {
+  /// Whether the rest is valid: the receiver is the vm that was asked, and has a proof.
+  bool known = false;
+  /// Age of the receiver's own proof when it replied.
+  milliseconds age{0};
+  /// Whether the receiver reads the source itself at present.
+  bool reads_source = false;
+  std::uint64_t document_hash = 0;
+  /// The highest change number among the receiver's documents.
+  std::uint64_t last_change = 0;
+  /// The receiver's documents, if their hash differs from the sender's.
+  std::vector<document_summary> documents;
+
+  friend bool operator==(const confirm_reply&, const confirm_reply&) = default;
+};
+
 }  // namespace catkinmoor
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -15,6 +15,7 @@
 #include "routing/load_board.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
+#include "workspace/key_freshness.h"
 
 namespace catkinmoor {
 
@@ -27,6 +28,7 @@
   retry_budget& budget;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  key_freshness& key_proofs;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -58,7 +58,8 @@
           call.priority,
           call.request_id,
           RemainingObjective(call),
-          deps_.loads.Limit(target.vm, target.target->instance)};
+          deps_.loads.Limit(target.vm, target.target->instance),
+          call.key_valid_until};
 }
 
 asio::awaitable<attempt_result> attempt_sender::MakeAttempt(
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "framework/base/digest.h"
 #include "framework/logging/log.h"
+#include "proxy/internal/key_admission.h"
 #include "proxy/internal/target_responses.h"
 
 namespace catkinmoor::proxy_internal {
@@ -116,6 +117,12 @@
         fallback = UnknownResponse(call, std::move(fallback.failure));
       break;
     }
+    if (auto refused = RenewKey(deps_, call)) {
+      fallback = std::move(*refused);
+      if (FinalStep(state) == next_step::kReportUnknown)
+        fallback = UnknownResponse(call, std::move(fallback.failure));
+      break;
+    }
     context.tried_vms.insert(target->vm);
     // The caller may have disconnected before its request was read or between two attempts.
     if (!call.streams_body && IsClosed(caller)) {
@@ -211,7 +218,8 @@
       break;
     case attempt_outcome::kRefused:
       // The gate's target is unavailable; the update that reports this has not arrived yet.
-      if (attempt.reason != kReasonQuarantined) deps_.loads.OnConnectionFailure(target.vm, Now());
+      if (attempt.reason != kReasonQuarantined && attempt.reason != kReasonKeyUnconfirmed)
+        deps_.loads.OnConnectionFailure(target.vm, Now());
       return;
     case attempt_outcome::kRefusedOverload:
     case attempt_outcome::kFenced:
@@ -307,7 +315,7 @@
         EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service));
     const member_ptr target =
         PickTarget(eligible, content, *call.matched_route, context, deps_.loads, worker.random);
-    if (target == nullptr) break;
+    if (target == nullptr || RenewKey(deps_, call)) break;
     context.tried_vms.insert(target->vm);
     call.resume_offset = writer.body_bytes;
     attempt_result attempt =
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,7 @@
 inline constexpr const char* kObjectiveHeader = "x-catkinmoor-objective-ms";
 inline constexpr const char* kLimitHeader = "x-catkinmoor-limit";
 inline constexpr const char* kRetryAfterHeader = "x-catkinmoor-retry-ms";
+inline constexpr const char* kKeyValidityHeader = "x-catkinmoor-key-ms";
 inline constexpr const char* kRequestIdHeader = "x-request-id";
 
 /// Values of the outcome header.
@@ -47,6 +49,9 @@
 inline constexpr const char* kReasonQuarantined = "quarantined";
 inline constexpr const char* kReasonDraining = "draining";
 
+/// Response reason: the caller's key may have been removed, and no proof to the contrary is recent.
+inline constexpr const char* kReasonKeyUnconfirmed = "key-unconfirmed";
+
 /// Response reason: the target itself rejected the request.
 inline constexpr const char* kReasonTargetRefused = "target-refused";
 
@@ -73,6 +78,8 @@
   std::optional<milliseconds> objective;
   /// Request rate limit that the entry learnt from the last response of the instance.
   std::optional<double> limit_per_second = std::nullopt;
+  /// Until when the caller's key admits the request, if keys are bounded. Sent as the time left.
+  std::optional<boot_time_point> key_valid_until = std::nullopt;
 
   friend bool operator==(const gate_call&, const gate_call&) = default;
 };
@@ -106,6 +113,10 @@
   if (call.limit_per_second) {
     fields.set(kLimitHeader, std::to_string(*call.limit_per_second));
   }
+  if (call.key_valid_until) {
+    const auto left = std::chrono::floor<milliseconds>(*call.key_valid_until - BootNow());
+    fields.set(kKeyValidityHeader, std::to_string(std::max<std::int64_t>(0, left.count())));
+  }
   if (call.priority >= 0) fields.set(kPriorityHeader, std::to_string(call.priority));
 }
 
@@ -122,6 +133,7 @@
   const auto concurrency = ParseInteger(text(kConcurrencyHeader));
   const auto queue = ParseInteger(text(kQueueHeader));
   const auto objective = ParseInteger(text(kObjectiveHeader));
+  const auto key_left = ParseInteger(text(kKeyValidityHeader));
   const bool valid = incarnation && kind && time_left && concurrency && queue &&
                      !text(kAttemptHeader).empty() && !text(kServiceHeader).empty();
   if (!valid || *kind < 0 || *kind > static_cast<int>(route_class::kDownload)) return std::nullopt;
@@ -140,7 +152,8 @@
                    ParseInteger(text(kPriorityHeader)).value_or(-1),
                    std::string(text(kRequestIdHeader)),
                    objective ? std::optional(milliseconds(*objective)) : std::nullopt,
-                   ParseDecimal(text(kLimitHeader))};
+                   ParseDecimal(text(kLimitHeader)),
+                   key_left ? std::optional(BootNow() + milliseconds(*key_left)) : std::nullopt};
 }
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -26,6 +27,9 @@
   std::int64_t depth = 0;
   /// Workspace of the caller's key, in the document above; null without one.
   const workspace* caller_workspace = nullptr;
+  /// Digest of the caller's key, and until when it admits the request; only if keys are bounded.
+  std::string key_digest;
+  std::optional<boot_time_point> key_valid_until;
   /// Order of admission under load, as route::priority.
   std::int64_t priority = -1;
   std::string body;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -9,6 +9,7 @@
 
 #include "framework/base/digest.h"
 #include "proxy/internal/call_dispatcher.h"
+#include "proxy/internal/key_admission.h"
 #include "routing/route_matcher.h"
 #include "workspace/caller_key.h"
 
@@ -259,6 +260,7 @@
     }
     message.erase(conventions.key_header);
     message.erase(conventions.workspace_header);
+    const boot_time_point valid_until = deps_.key_proofs.ValidUntil();
     const parsed_document_ptr held = deps_.documents.Held(call.document->source.service);
     const key_check checked = CheckKey(*call.document, held.get(), *call.matched_route, key);
     if (checked.outcome == key_outcome::kRefused) {
@@ -266,6 +268,7 @@
     }
     call.caller_workspace = checked.found;
     if (checked.found == nullptr) return std::nullopt;
+    if (auto refused = AdmitKey(deps_, key, valid_until, call)) return refused;
     message.set(conventions.workspace_header, checked.found->name);
     if (checked.found->priority >= 0) call.priority = checked.found->priority;
     return std::nullopt;
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -11,6 +11,7 @@
 #include "proxy/internal/call_headers.h"
 #include "proxy/internal/slot_controller.h"
 #include "proxy/internal/http_stream.h"
+#include "proxy/internal/key_admission.h"
 #include "proxy/internal/target_responses.h"
 
 namespace catkinmoor {
@@ -191,6 +192,7 @@
                             "the call was sent to another incarnation of this daemon");
     }
     if (!target) return NotRunResponse(503, "no-target", "no target is registered");
+    if (IsKeyExpired(*call)) return KeyExpiredResponse();
     const target_announcement& announcement = target->announcement;
     if (announcement.service != call->service || announcement.instance != call->instance) {
       return NotRunResponse(503, "other-target",
@@ -321,6 +323,7 @@
     // An entry that closed its connection has abandoned the call; this daemon may have been paused
     // meanwhile.
     if (IsClosed(entry)) co_return false;
+    if (IsKeyExpired(call)) co_return co_await Refuse(entry, parser, KeyExpiredResponse());
     if (!deps_.ledger.TryForward(call.attempt)) {
       co_return co_await Refuse(entry, parser,
                                 NotRunResponse(503, "fenced", "the entry fenced the call"));
--- a/src/workspace/caller_key.h
+++ b/src/workspace/caller_key.h
@@ -15,6 +15,9 @@
 /// one. Schemes are compared without case.
 std::string_view CredentialsOf(std::string_view header_value, std::string_view scheme);
 
+/// The workspace that has a key with this digest in a document, or null.
+const workspace* FindWorkspace(const parsed_document& document, const std::string& digest);
+
 /// Whether a request may run as far as its key is concerned.
 enum class key_outcome {
   kAccepted,   ///< The key of a workspace.
