--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -9,7 +9,7 @@
 #include <map>
 
 #include "framework/logging/log.h"
-#include "rollout/boot_clock.h"
+#include "framework/base/clock.h"
 
 namespace catkinmoor {
 namespace {
@@ -161,7 +161,7 @@
 }
 
 void record_exchange::AnnounceRollout(const rollout_state& state, spread_range range) {
-  if (rollouts_ == nullptr || !rollouts_->Record(state, BootNow())) return;
+  if (rollouts_ == nullptr || !rollouts_->Record(state, SuspendAwareNow())) return;
   spread_request message = MakeSpread({range, ""});
   message.rollouts.push_back(state);
   Forward(std::move(message));
@@ -172,7 +172,7 @@
   std::vector<rollout_state> newer;
   if (rollouts_ == nullptr) return newer;
   for (const rollout_state& each : states) {
-    if (rollouts_->Record(each, BootNow())) newer.push_back(each);
+    if (rollouts_->Record(each, SuspendAwareNow())) newer.push_back(each);
   }
   return newer;
 }
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -18,6 +18,7 @@
 #include "peer/peer_transport.h"
 #include "rollout/rollout_board.h"
 #include "store/store_era.h"
+#include "workspace/key_freshness.h"
 
 namespace catkinmoor {
 
@@ -29,6 +30,7 @@
   source_freshness& freshness;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  key_freshness& key_proofs;
   /// Era of the store; null where the store states none.
   store_era* era = nullptr;
 };
--- a/src/distribution/rollout_controller.h
+++ b/src/distribution/rollout_controller.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "distribution/record_exchange.h"
-#include "rollout/boot_clock.h"
+#include "framework/base/clock.h"
 #include "rollout/conductor_lease.h"
 #include "rollout/rollout_status.h"
 #include "rollout/version_router.h"
--- a/src/distribution/tests/rollout_controller_test.cc
+++ b/src/distribution/tests/rollout_controller_test.cc
@@ -38,7 +38,7 @@
   daemon_part(memory_platform& platform, rollout_peers& peers, recorded_status& status,
               const std::string& vm, std::uint16_t port, rollout_bounds bounds)
       : distribution(context, platform, peers, vm, port),
-        router(board, "r", BootNow, port),
+        router(board, "r", SuspendAwareNow, port),
         controller(context, distribution.deps, peers, distribution.exchange,
                    {board, router, platform, &status, bounds}) {
     peers.parts[distribution.self.Get().control] = this;
--- a/src/peer/grpc_transport.h
+++ b/src/peer/grpc_transport.h
@@ -33,6 +33,8 @@
                                                       milliseconds timeout) override;
   boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
                                                     milliseconds timeout) override;
+  boost::asio::awaitable<result<confirm_reply>> Confirm(endpoint, confirm_request,
+                                                        milliseconds timeout) override;
 
   boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(endpoint, rollout_report,
                                                                      milliseconds timeout) override;
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -32,6 +32,8 @@
   virtual boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(endpoint peer,
                                                                              rollout_report message,
                                                                              milliseconds timeout);
+  virtual boost::asio::awaitable<result<confirm_reply>> Confirm(endpoint, confirm_request,
+                                                                milliseconds timeout) = 0;
 };
 
 inline boost::asio::awaitable<result<rollout_report_reply>> peer_client::ReportRollout(
@@ -51,6 +53,7 @@
   virtual boost::asio::awaitable<gather_reply> OnGather(gather_request message) = 0;
   virtual boost::asio::awaitable<fence_reply> OnFence(fence_request message) = 0;
   virtual boost::asio::awaitable<rollout_report_reply> OnRolloutReport(rollout_report message) = 0;
+  virtual boost::asio::awaitable<confirm_reply> OnConfirm(confirm_request message) = 0;
 };
 
 }  // namespace catkinmoor
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -16,6 +16,7 @@
 #include "routing/retry_budget.h"
 #include "rollout/version_router.h"
 #include "routing/retry_policy.h"
+#include "workspace/key_freshness.h"
 
 namespace catkinmoor {
 
@@ -28,6 +29,7 @@
   retry_budget& budget;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  key_freshness& key_proofs;
   /// Restricts requests to versions during rollouts; null if there are none.
   version_router* versions = nullptr;
 };
