Keep the retry budget within its rule in every sliding window

Ruled out: the larger of the three counts in each daemon.

Change: a retry is allowed only if every window that will contain it stays within the limit, with the mean of the first attempts in that window and half a window earlier, which adds up over daemons. All retries at one instant get at most half of the ratio; in steady load the whole ratio is available.

--- a/src/routing/internal/retry_budget.cc
+++ b/src/routing/internal/retry_budget.cc
@@ -13,8 +13,9 @@
 }  // namespace
 
 std::int64_t retry_budget::SlotNumber(const retry_budget_settings& settings, time_point now) {
-  const auto slot_ms =
-      std::max<std::int64_t>(1, settings.window.count() / static_cast<std::int64_t>(kSlots));
+  // Rounded up, since the slots must not cover less than a window.
+  const std::int64_t slot_ms =
+      std::max<std::int64_t>(1, (settings.window.count() + kSlots - 1) / kSlots);
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count() / slot_ms;
 }
 
@@ -27,15 +28,24 @@
   return current;
 }
 
-retry_budget::totals retry_budget::Count(const window& counts, std::int64_t current) {
+retry_budget::totals retry_budget::Count(const window& counts, std::int64_t begin,
+                                         std::int64_t current) {
   totals sum;
+  double within = 0;
+  double half_before = 0;
+  // The windows begin at any point of their first slot. Retries are counted in all slots that such
+  // a window may touch, first attempts only in slots that lie within it for certain.
   for (const slot& each : counts.slots) {
-    const std::int64_t age = current - each.number;
-    if (each.number < 0 || age < 0 || age > static_cast<std::int64_t>(kSlots)) continue;
-    sum.retries += each.retries;
-    sum.repeats += each.repeats;
-    if (age < static_cast<std::int64_t>(kSlots)) sum.first_attempts += each.first_attempts;
+    if (each.number < 0 || each.number > current) continue;
+    const std::int64_t offset = each.number - begin;
+    if (offset >= 0) {
+      sum.retries += each.retries;
+      sum.repeats += each.repeats;
+    }
+    if (offset > 0) within += each.first_attempts;
+    if (offset > -kSlots / 2 && offset < kSlots / 2) half_before += each.first_attempts;
   }
+  sum.first_attempts = (within + half_before) / 2;
   return sum;
 }
 
@@ -51,16 +61,18 @@
   return windows_.WithShard(service, [&](auto& entries) {
     window& counts = entries[service];
     slot& current = CurrentSlot(counts, settings, now);
-    const totals sum = Count(counts, current.number);
     const double elapsed_s =
         std::min(Seconds(now - counts.started_at) + 1, Seconds(settings.window));
     const double burst = std::max(0.0, settings.fleet_burst) /
                          static_cast<double>(std::max<std::size_t>(1, daemons_));
-    const double allowed =
-        settings.ratio * sum.first_attempts + settings.min_per_second * elapsed_s + burst;
     const bool is_repeat = kind == retry_kind::kMayHaveRun;
-    if (sum.retries + 1 > allowed) return false;
-    if (is_repeat && sum.repeats + 1 > std::max(1.0, kRepeatShare * allowed)) return false;
+    for (std::int64_t begin = current.number - kSlots; begin <= current.number; ++begin) {
+      const totals sum = Count(counts, begin, current.number);
+      const double allowed =
+          settings.ratio * sum.first_attempts + settings.min_per_second * elapsed_s + burst;
+      if (sum.retries + 1 > allowed) return false;
+      if (is_repeat && sum.repeats + 1 > std::max(1.0, kRepeatShare * allowed)) return false;
+    }
     ++current.retries;
     if (is_repeat) ++current.repeats;
     return true;
