Exchange permits between daemons and apply quotas at the entry

Change: rpc Permits; quota_controller asks for permits, watches and claims the authority's row, and answers while it holds it. The entry takes one permit for a request of a limited workspace before it is dispatched: 429 with Retry-After where the authority says that the workspace is over its limit, 503 quota-unavailable where nobody answers. The store's era is not known to its client yet, so that nothing is claimed at once.

--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -8,6 +8,7 @@
 #include "distribution/distribution_settings.h"
 #include "framework/json/field_table.h"
 #include "proxy/proxy_settings.h"
+#include "quota/quota_settings.h"
 
 namespace catkinmoor {
 
@@ -38,6 +39,8 @@
   std::vector<translation_rule> translation_rules;
   distribution_settings distribution;
   proxy_settings proxy;
+  quota_settings quota;
+  double processor_share = 1;
   bool verbose = false;
 };
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -19,6 +19,7 @@
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
 #include "distribution/membership_controller.h"
+#include "distribution/quota_controller.h"
 #include "framework/base/digest.h"
 #include "framework/http/client.h"
 #include "framework/http/server.h"
@@ -106,8 +107,13 @@
         join_(control_context_, deps_, *platform_, peers_, exchange_, source_,
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
         status_(deps_, peers_),
+        quotas_(control_context_, {documents_, members_, peers_, *platform_, metrics_},
+                {settings_.vm, self_.Get().version.incarnation, settings_.processor_share,
+                 settings_.proxy.mesh_document},
+                settings_.quota),
         workers_(static_cast<std::size_t>(settings_.workers)),
-        entry_(workers_, {documents_, members_, self_, loads_, budget_, quarantine_, metrics_},
+        entry_(workers_,
+               {documents_, members_, self_, loads_, budget_, quarantine_, metrics_, &quotas_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -183,6 +189,9 @@
   asio::awaitable<fence_reply> OnFence(fence_request message) override {
     co_return fence_reply{gate_.Fence(message)};
   }
+  asio::awaitable<permit_reply> OnPermits(permit_ask message) override {
+    return quotas_.OnPermits(std::move(message));
+  }
 
  private:
   std::vector<result<done>> ListenAll() {
@@ -287,6 +296,7 @@
     asio::co_spawn(control_context_, source_.Run(), asio::detached);
     asio::co_spawn(control_context_, join_.MaintainRendezvousRecord(), asio::detached);
     asio::co_spawn(control_context_, CleanUpPeriodically(), asio::detached);
+    quotas_.Start();
     if (settings_.distribution.max_witness_wait.count() > 0) {
       asio::co_spawn(control_context_, ReleaseWitnessWaits(), asio::detached);
     }
@@ -367,6 +377,7 @@
       record.target.reset();
     });
     exchange_.AnnounceSelf();
+    quotas_.Release();
     const time_point left_at = Now();
     co_await AwaitNoActiveRequests(begin + schedule.end_waits);
     entry_.EndWaits();
@@ -401,6 +412,7 @@
     membership_.Stop();
     source_.Stop();
     join_.Stop();
+    quotas_.Stop();
     target_.Stop();
     cleanup_timer_.cancel();
     administration_server_.Stop();
@@ -414,6 +426,7 @@
   }
 
   void RefreshMetrics() {
+    quotas_.RefreshMetrics();
     const peer_traffic client = peers_.Traffic();
     const peer_traffic server = peer_server_.Traffic();
     const auto sum = [](std::uint64_t left, std::uint64_t right) {
@@ -460,6 +473,7 @@
   source_controller source_;
   join_controller join_;
   status_controller status_;
+  quota_controller quotas_;
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -130,8 +130,26 @@
   return json::WriteObject<ps>(from.proxy, kProxyFields);
 }
 
+using qs = quota_settings;
+const std::array<field<qs>, 3> kQuotaFields = {{
+    {"window_ms", &qs::window,
+     "Sliding window in which the requests of a workspace are limited; 0 switches quotas off.",
+     false, 0, kMaxTimeMs},
+    {"overage", &qs::overage,
+     "Share by which the requests in a window may exceed rate x window + burst.", false, 0, 10},
+    {"slack", &qs::slack, "Requests in a window that are permitted beyond that.", false, 0, 1e6},
+}};
+
+void ReadQuota(const bj::value& from, const std::string& pointer, daemon_settings& to,
+               problems& found) {
+  json::ReadObject<qs>(from, pointer, kQuotaFields, to.quota, found);
+}
+bj::value WriteQuota(const daemon_settings& from) {
+  return json::WriteObject<qs>(from.quota, kQuotaFields);
+}
+
 using s = daemon_settings;
-const std::array<field<s>, 26> kFields = {{
+const std::array<field<s>, 28> kFields = {{
     {"vm", &s::vm, "Name of the vm, unique in the fleet.", true, 1},
     {"region", &s::region, "Region of the vm.", true, 1},
     {"data_centre", &s::data_centre, "Data centre of the vm.", true, 1},
@@ -172,6 +190,11 @@
     {"distribution", custom_member<s>{ReadDistribution, WriteDistribution},
      "Settings of distribution, listed below."},
     {"proxy", custom_member<s>{ReadProxy, WriteProxy}, "Settings of the proxies, listed below."},
+    {"quota", custom_member<s>{ReadQuota, WriteQuota},
+     "Settings of the quotas of workspaces, listed below."},
+    {"processor_share", &s::processor_share,
+     "Processor share of the vm, in cores. Daemons with more become the quota authority first.",
+     false, 0, 1'000},
     {"verbose", &s::verbose, "Whether informational events are logged as well as warnings."},
 }};
 
@@ -180,7 +203,9 @@
                 std::type_identity_t<std::span<const field<T>>> table) {
   const T defaults;
   for (const field<T>& row : table) {
-    if (row.name == "distribution" || row.name == "proxy") continue;
+    if (row.name == "distribution" || row.name == "proxy" || row.name == "quota") {
+      continue;
+    }
     const std::string value =
         row.required ? "required" : bj::serialize(json::internal::WriteMember(row, defaults));
     to << "| `" << prefix << row.name << "` | `" << value << "` | " << row.description << " |\n";
@@ -210,6 +235,9 @@
   if (!settings.teams.empty() && settings.token_key.empty()) {
     json::AddProblem(found, "/token_key", "is required if there are teams");
   }
+  if (settings.quota.Enabled() && settings.proxy.mesh_document.empty()) {
+    json::AddProblem(found, "/quota/window_ms", "requires a mesh document, which has workspaces");
+  }
   if (!found.empty()) return found;
   return settings;
 }
@@ -224,6 +252,7 @@
   AppendRows<daemon_settings>(table, "", kFields);
   AppendRows<ds>(table, "distribution.", kDistributionFields);
   AppendRows<ps>(table, "proxy.", kProxyFields);
+  AppendRows<qs>(table, "quota.", kQuotaFields);
   return table.str();
 }
 
--- a/src/distribution/tests/in_process_fleet.h
+++ b/src/distribution/tests/in_process_fleet.h
@@ -38,6 +38,10 @@
                                                     milliseconds) override {
     co_return error{error_kind::kUnavailable, "fence", "", "not supported by this stub"};
   }
+  boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                       milliseconds) override {
+    co_return error{error_kind::kUnavailable, "permits", "", "not supported by this stub"};
+  }
 
   /// The node at an address, or null if a message of the sender does not reach it.
   node* Reach(const std::string& sender, const endpoint& address);
--- a/src/peer/grpc_transport.h
+++ b/src/peer/grpc_transport.h
@@ -33,6 +33,8 @@
                                                       milliseconds timeout) override;
   boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
                                                     milliseconds timeout) override;
+  boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                       milliseconds timeout) override;
 
   /// Closes connections that have not been used for longer than the given age.
   void CloseIdle(milliseconds age);
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -411,4 +411,62 @@
   to.fate = ClampEnum(from.fate(), request_fate::kResponded);
 }
 
+void ToWire(const permit_ask& from, wire::PermitsRequest& to) {
+  to.set_sender(from.sender);
+  to.set_incarnation(from.incarnation);
+  to.set_sequence(from.sequence);
+  to.set_recipient(from.recipient);
+  to.set_epoch(from.epoch);
+  for (const workspace_ask& each : from.workspaces) {
+    wire::WorkspaceAsk& ask = *to.add_workspaces();
+    ask.set_workspace(each.workspace);
+    ask.set_demand(static_cast<float>(each.demand));
+    ask.set_wanted(each.wanted);
+    for (const permit_settlement& settled : each.settlements) {
+      wire::PermitSettlement& settlement = *ask.add_settlements();
+      settlement.set_grant(settled.grant);
+      settlement.set_used(settled.used);
+      settlement.set_returned(settled.returned);
+    }
+  }
+}
+
+void FromWire(const wire::PermitsRequest& from, permit_ask& to) {
+  to = {from.sender(), from.incarnation(), from.sequence(), from.recipient(), from.epoch(), {}};
+  for (const wire::WorkspaceAsk& each : from.workspaces()) {
+    workspace_ask ask{each.workspace(), std::max(0.0F, each.demand()), each.wanted(), {}};
+    for (const wire::PermitSettlement& settled : each.settlements()) {
+      ask.settlements.push_back({settled.grant(), settled.used(), settled.returned()});
+    }
+    to.workspaces.push_back(std::move(ask));
+  }
+}
+
+void ToWire(const permit_reply& from, wire::PermitsReply& to) {
+  to.set_verdict(EnumNumber(from.verdict));
+  to.set_sequence(from.sequence);
+  to.set_epoch(from.epoch);
+  to.set_authority(from.authority);
+  for (const workspace_grant& each : from.grants) {
+    wire::WorkspaceGrant& grant = *to.add_grants();
+    grant.set_workspace(each.workspace);
+    grant.set_granted(each.granted);
+    grant.set_ahead_ms(static_cast<std::uint32_t>(each.ahead.count()));
+    grant.set_retry_after_ms(static_cast<std::uint32_t>(each.retry_after.count()));
+    grant.set_over_limit(each.over_limit);
+  }
+}
+
+void FromWire(const wire::PermitsReply& from, permit_reply& to) {
+  to = {ClampEnum(from.verdict(), permit_verdict::kOutOfOrder),
+        from.sequence(),
+        from.epoch(),
+        from.authority(),
+        {}};
+  for (const wire::WorkspaceGrant& each : from.grants()) {
+    to.grants.push_back({each.workspace(), each.granted(), milliseconds(each.ahead_ms()),
+                         milliseconds(each.retry_after_ms()), each.over_limit()});
+  }
+}
+
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/internal/convert.h
+++ b/src/peer/internal/convert.h
@@ -19,6 +19,8 @@
 void ToWire(const gather_reply& from, wire::GatherReply& to);
 void ToWire(const fence_request& from, wire::FenceRequest& to);
 void ToWire(const fence_reply& from, wire::FenceReply& to);
+void ToWire(const permit_ask& from, wire::PermitsRequest& to);
+void ToWire(const permit_reply& from, wire::PermitsReply& to);
 
 void FromWire(const wire::SpreadRequest& from, spread_request& to);
 void FromWire(const wire::SpreadReply& from, spread_reply& to);
@@ -32,5 +34,7 @@
 void FromWire(const wire::GatherReply& from, gather_reply& to);
 void FromWire(const wire::FenceRequest& from, fence_request& to);
 void FromWire(const wire::FenceReply& from, fence_reply& to);
+void FromWire(const wire::PermitsRequest& from, permit_ask& to);
+void FromWire(const wire::PermitsReply& from, permit_reply& to);
 
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/internal/grpc_transport.cc
+++ b/src/peer/internal/grpc_transport.cc
@@ -210,6 +210,16 @@
       });
 }
 
+asio::awaitable<result<permit_reply>> grpc_peer_client::Permits(endpoint address,
+                                                                permit_ask message,
+                                                                milliseconds timeout) {
+  return state_->Call<wire::PermitsReply, permit_reply, wire::PermitsRequest>(
+      "permits", std::move(address), std::move(message), timeout,
+      [](auto* stub, auto* context, auto* request, auto* reply, auto on_done) {
+        stub->async()->Permits(context, request, reply, std::move(on_done));
+      });
+}
+
 struct grpc_peer_server::state : wire::PeerService::CallbackService {
   state(asio::io_context& io, peer_service& handler) : context(io), service(handler) {}
 
@@ -272,6 +282,11 @@
                                   wire::FenceReply* reply) override {
     return Serve(call, request, reply, &peer_service::OnFence);
   }
+  grpc::ServerUnaryReactor* Permits(grpc::CallbackServerContext* call,
+                                    const wire::PermitsRequest* request,
+                                    wire::PermitsReply* reply) override {
+    return Serve(call, request, reply, &peer_service::OnPermits);
+  }
 };
 
 grpc_peer_server::grpc_peer_server(asio::io_context& context, peer_service& service)
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -8,6 +8,7 @@
 #include "document/document.h"
 #include "membership/member.h"
 #include "quarantine/quarantine_board.h"
+#include "quota/permit_messages.h"
 
 namespace catkinmoor {
 
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -27,6 +27,8 @@
                                                               milliseconds timeout) = 0;
   virtual boost::asio::awaitable<result<fence_reply>> Fence(endpoint, fence_request,
                                                             milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                               milliseconds timeout) = 0;
 };
 
 /// Handles the messages of other daemons.
@@ -40,6 +42,7 @@
   virtual boost::asio::awaitable<transfer_reply> OnTransfer(transfer_request message) = 0;
   virtual boost::asio::awaitable<gather_reply> OnGather(gather_request message) = 0;
   virtual boost::asio::awaitable<fence_reply> OnFence(fence_request message) = 0;
+  virtual boost::asio::awaitable<permit_reply> OnPermits(permit_ask message) = 0;
 };
 
 }  // namespace catkinmoor
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "distribution/document_board.h"
+#include "distribution/quota_controller.h"
 #include "distribution/self_record.h"
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
@@ -27,6 +28,8 @@
   retry_budget& budget;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  /// Null where no workspace has a quota.
+  quota_controller* quotas = nullptr;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -334,6 +334,7 @@
                                                       const call_state& call,
                                                       local_response response) {
   RecordRequest(call, response.status, response.outcome);
+  if (call.permit && response.outcome == kOutcomeNotRun) call.permit->MarkNotRun();
   LogLocalResponse(call, response);
   bool discarded = false;
   if (!call.expects_continue && !stop_.AttemptsEnded()) {
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -7,6 +7,7 @@
 #include "peer/messages.h"
 #include "proxy/internal/call_headers.h"
 #include "proxy/internal/http_stream.h"
+#include "proxy/internal/permit_lease.h"
 #include "routing/retry_policy.h"
 
 namespace catkinmoor::proxy_internal {
@@ -26,6 +27,8 @@
   std::int64_t depth = 0;
   /// Workspace of the caller's key, in the document above; null without one.
   const workspace* caller_workspace = nullptr;
+  /// The permit of the workspace's quota, if it has one.
+  std::shared_ptr<permit_lease> permit;
   /// Order of admission under load, as route::priority.
   std::int64_t priority = -1;
   std::string body;
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -9,6 +9,7 @@
 
 #include "framework/base/digest.h"
 #include "proxy/internal/call_dispatcher.h"
+#include "proxy/internal/quota_admission.h"
 #include "routing/route_matcher.h"
 #include "workspace/caller_key.h"
 
@@ -318,6 +319,10 @@
                          "requests with this fingerprint crashed targets: " + call.fingerprint);
       co_return co_await dispatcher_.RespondLocally(caller, parser, call, std::move(refused));
     }
+    auto over_quota = co_await TakePermit(deps_.quotas, call);
+    if (over_quota) {
+      co_return co_await dispatcher_.RespondLocally(caller, parser, call, std::move(*over_quota));
+    }
     co_return co_await dispatcher_.Dispatch(worker, caller, parser, call);
   }
 
