--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -9,6 +9,7 @@
 #include "framework/json/field_table.h"
 #include "proxy/proxy_settings.h"
 #include "rollout/rollout_state.h"
+#include "quota/quota_settings.h"
 
 namespace catkinmoor {
 
@@ -40,6 +41,8 @@
   distribution_settings distribution;
   proxy_settings proxy;
   rollout_bounds rollout;
+  quota_settings quota;
+  double processor_share = 1;
   bool verbose = false;
 };
 
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -21,6 +21,7 @@
 #include "distribution/key_proof_controller.h"
 #include "distribution/membership_controller.h"
 #include "distribution/rollout_controller.h"
+#include "distribution/quota_controller.h"
 #include "framework/base/digest.h"
 #include "framework/http/client.h"
 #include "framework/http/server.h"
@@ -116,10 +117,14 @@
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
         key_proof_(control_context_, deps_, peers_, exchange_, *strategy_, random_device_()),
         status_(deps_, peers_),
+        quotas_(control_context_, {documents_, members_, peers_, *platform_, metrics_},
+                {settings_.vm, self_.Get().version.incarnation, settings_.processor_share,
+                 settings_.proxy.mesh_document},
+                settings_.quota),
         workers_(static_cast<std::size_t>(settings_.workers)),
         entry_(workers_,
                {documents_, members_, self_, loads_, budget_, quarantine_, metrics_, key_proofs_,
-                &versions_},
+                &versions_, &quotas_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -207,6 +212,9 @@
   asio::awaitable<confirm_reply> OnConfirm(confirm_request message) override {
     return key_proof_.OnConfirm(std::move(message));
   }
+  asio::awaitable<permit_reply> OnPermits(permit_ask message) override {
+    return quotas_.OnPermits(std::move(message));
+  }
 
  private:
   std::vector<result<done>> ListenAll() {
@@ -313,6 +321,7 @@
     asio::co_spawn(control_context_, key_proof_.Run(), asio::detached);
     asio::co_spawn(control_context_, join_.MaintainRendezvousRecord(), asio::detached);
     asio::co_spawn(control_context_, CleanUpPeriodically(), asio::detached);
+    quotas_.Start();
     if (settings_.distribution.max_witness_wait.count() > 0) {
       asio::co_spawn(control_context_, ReleaseWitnessWaits(), asio::detached);
     }
@@ -409,6 +418,7 @@
       record.target.reset();
     });
     exchange_.AnnounceSelf();
+    quotas_.Release();
     const time_point left_at = Now();
     co_await AwaitNoActiveRequests(begin + schedule.end_waits);
     entry_.EndWaits();
@@ -446,6 +456,7 @@
     rollout_.Stop();
     key_proof_.Stop();
     join_.Stop();
+    quotas_.Stop();
     target_.Stop();
     cleanup_timer_.cancel();
     administration_server_.Stop();
@@ -459,6 +470,7 @@
   }
 
   void RefreshMetrics() {
+    quotas_.RefreshMetrics();
     const peer_traffic client = peers_.Traffic();
     const peer_traffic server = peer_server_.Traffic();
     const auto sum = [](std::uint64_t left, std::uint64_t right) {
@@ -525,6 +537,7 @@
   join_controller join_;
   key_proof_controller key_proof_;
   status_controller status_;
+  quota_controller quotas_;
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
--- a/src/distribution/rollout_controller.h
+++ b/src/distribution/rollout_controller.h
@@ -37,7 +37,7 @@
   rollout_status_writer* status = nullptr;
   rollout_bounds bounds;
   /// Must count suspensions.
-  std::function<time_point()> now = BootNow;
+  std::function<time_point()> now = SuspendAwareNow;
 };
 
 /// Reports this daemon's evidence on rollouts to their conductors, and conducts a rollout itself
--- a/src/distribution/tests/in_process_fleet.h
+++ b/src/distribution/tests/in_process_fleet.h
@@ -39,6 +39,10 @@
                                                     milliseconds) override {
     co_return error{error_kind::kUnavailable, "fence", "", "not supported by this stub"};
   }
+  boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                       milliseconds) override {
+    co_return error{error_kind::kUnavailable, "permits", "", "not supported by this stub"};
+  }
 
   boost::asio::awaitable<result<confirm_reply>> Confirm(endpoint, confirm_request,
                                                         milliseconds) override;
--- a/src/peer/grpc_transport.h
+++ b/src/peer/grpc_transport.h
@@ -38,6 +38,8 @@
 
   boost::asio::awaitable<result<rollout_report_reply>> ReportRollout(endpoint, rollout_report,
                                                                      milliseconds timeout) override;
+  boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                       milliseconds timeout) override;
 
   /// Closes connections that have not been used for longer than the given age.
   void CloseIdle(milliseconds age);
--- a/src/peer/internal/convert.h
+++ b/src/peer/internal/convert.h
@@ -21,6 +21,8 @@
 void ToWire(const fence_reply& from, wire::FenceReply& to);
 void ToWire(const confirm_request& from, wire::ConfirmRequest& to);
 void ToWire(const confirm_reply& from, wire::ConfirmReply& to);
+void ToWire(const permit_ask& from, wire::PermitsRequest& to);
+void ToWire(const permit_reply& from, wire::PermitsReply& to);
 
 void ToWire(const rollout_report& from, wire::RolloutReport& to);
 void ToWire(const rollout_report_reply& from, wire::RolloutReportReply& to);
@@ -41,5 +43,7 @@
 void FromWire(const wire::FenceReply& from, fence_reply& to);
 void FromWire(const wire::ConfirmRequest& from, confirm_request& to);
 void FromWire(const wire::ConfirmReply& from, confirm_reply& to);
+void FromWire(const wire::PermitsRequest& from, permit_ask& to);
+void FromWire(const wire::PermitsReply& from, permit_reply& to);
 
 }  // namespace catkinmoor::peer_internal
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -9,6 +9,7 @@
 #include "membership/member.h"
 #include "quarantine/quarantine_board.h"
 #include "rollout/rollout_state.h"
+#include "quota/permit_messages.h"
 
 namespace catkinmoor {
 
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -34,6 +34,8 @@
                                                                              milliseconds timeout);
   virtual boost::asio::awaitable<result<confirm_reply>> Confirm(endpoint, confirm_request,
                                                                 milliseconds timeout) = 0;
+  virtual boost::asio::awaitable<result<permit_reply>> Permits(endpoint, permit_ask,
+                                                               milliseconds timeout) = 0;
 };
 
 inline boost::asio::awaitable<result<rollout_report_reply>> peer_client::ReportRollout(
@@ -54,6 +56,7 @@
   virtual boost::asio::awaitable<fence_reply> OnFence(fence_request message) = 0;
   virtual boost::asio::awaitable<rollout_report_reply> OnRolloutReport(rollout_report message) = 0;
   virtual boost::asio::awaitable<confirm_reply> OnConfirm(confirm_request message) = 0;
+  virtual boost::asio::awaitable<permit_reply> OnPermits(permit_ask message) = 0;
 };
 
 }  // namespace catkinmoor
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "distribution/document_board.h"
+#include "distribution/quota_controller.h"
 #include "distribution/self_record.h"
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
@@ -32,6 +33,8 @@
   key_freshness& key_proofs;
   /// Restricts requests to versions during rollouts; null if there are none.
   version_router* versions = nullptr;
+  /// Null where no workspace has a quota.
+  quota_controller* quotas = nullptr;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -10,6 +10,7 @@
 #include "proxy/internal/entry/response_order.h"
 #include "proxy/internal/http_stream.h"
 #include "proxy/internal/wire/body_upload.h"
+#include "proxy/internal/permit_lease.h"
 #include "routing/retry_policy.h"
 
 namespace catkinmoor::proxy_internal {
@@ -34,6 +35,8 @@
   /// Digest of the caller's key, and until when it admits the request; only if keys are bounded.
   std::string key_digest;
   std::optional<boot_time_point> key_valid_until;
+  /// The permit of the workspace's quota, if it has one.
+  std::shared_ptr<permit_lease> permit;
   /// Order of admission under load, as route::priority.
   std::int64_t priority = -1;
   std::string body;
