Test that crowds of unfinished requests stay within a daemon's limits

Nothing bounds the memory or the connections that callers take up together.

Change: crowd_process_test starts a fleet of one vm with lowered limits and sends 400 unfinished requests of six kinds. The bounds are the limits in the daemon's settings: peak resident memory (VmHWM) under memory_mb, open descriptors under max_descriptors, and an ordinary request answered 200 while the connections are open. The two settings are parsed but not used yet.

--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -29,6 +29,9 @@
   milliseconds platform_timeout{2'000};
   std::vector<std::string> seed_peers;
   std::int64_t workers = 2;
+  /// Memory and descriptors that the process may use; 0 for no limit.
+  std::int64_t memory_mb = 0;
+  std::int64_t max_descriptors = 0;
   milliseconds target_lease{3'000};
   milliseconds drain_notice_period{1'000};
   milliseconds drain_timeout{30'000};
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -21,6 +21,8 @@
 constexpr double kMaxTimeMs = 3'600'000;
 constexpr double kMaxWorkers = 64;
 constexpr double kMaxBytes = 1e12;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr double kMaxDescriptors = 1e7;
 
 const std::array<field<team_credential>, 2> kTeamFields = {{
     {"team", &team_credential::team, "Name of the team; \"*\" may change every document.", true, 1},
@@ -131,7 +133,7 @@
 }
 
 using s = daemon_settings;
-const std::array<field<s>, 26> kFields = {{
+const std::array<field<s>, 28> kFields = {{
     {"vm", &s::vm, "Name of the vm, unique in the fleet.", true, 1},
     {"region", &s::region, "Region of the vm.", true, 1},
     {"data_centre", &s::data_centre, "Data centre of the vm.", true, 1},
@@ -155,6 +157,14 @@
     {"seed_peers", &s::seed_peers,
      "Control endpoints to join through while the platform's table is unavailable."},
     {"workers", &s::workers, "Number of threads that process requests.", false, 1, kMaxWorkers},
+    {"memory_mb", &s::memory_mb,
+     "Memory that the process may use, in megabytes, from which the byte budget for callers is "
+     "computed; 0 for no limit.",
+     false, 0, kMaxMemoryMb},
+    {"max_descriptors", &s::max_descriptors,
+     "Descriptors that the process may use, from which the limit of callers' connections is "
+     "computed; 0 for no limit.",
+     false, 0, kMaxDescriptors},
     {"target_lease_ms", &s::target_lease, "Time without a report after which a target is removed.",
      false, 100, kMaxTimeMs},
     {"drain_notice_ms", &s::drain_notice_period,
--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -64,6 +64,9 @@
   int WaitForDaemonExit(const std::string& address);
   int WaitForTargetExit(const std::string& address);
 
+  /// The process of a running daemon.
+  pid_t DaemonProcess(const std::string& address) const { return daemon_processes_.at(address); }
+
   /// Sets the faults that the platform stand-in injects.
   void SetFaults(const std::string& json);
   std::uint64_t PlatformReads() const;
