--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -107,7 +107,9 @@
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
         status_(deps_, peers_),
         workers_(static_cast<std::size_t>(settings_.workers)),
-        entry_(workers_, {documents_, members_, self_, loads_, budget_, quarantine_, metrics_},
+        entry_(workers_,
+               {documents_, members_, self_, loads_, budget_, quarantine_, metrics_,
+                connection_budget_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -122,7 +124,8 @@
                },
                [this](const std::string& instance) {
                  asio::post(control_context_, [=, this] { target_.MarkLeaving(instance); });
-               }},
+               },
+               connection_budget_},
               settings_.proxy),
         departures_(control_context_, *platform_, settings_.vm),
         target_(control_context_, self_, exchange_, gate_, departures_, settings_.target_lease),
@@ -427,6 +430,7 @@
     metrics_.SetGauge("catkinmoor_ledger_entries", static_cast<double>(ledger_.Size()));
     metrics_.SetGauge("catkinmoor_resident_bytes", ResidentBytes());
     metrics_.SetGauge("catkinmoor_processor_seconds", ProcessorSeconds());
+    connection_budget_->WriteGauges();
     metrics_.SetGauge("catkinmoor_ready", join_.Ready() ? 1 : 0);
     metrics_.SetGauge("catkinmoor_source_confirmed_age_seconds",
                       std::chrono::duration<double>(freshness_.Age(Now())).count());
@@ -460,6 +464,8 @@
   source_controller source_;
   join_controller join_;
   status_controller status_;
+  std::shared_ptr<connection_budget> connection_budget_ = std::make_shared<connection_budget>(
+      LimitsOfProcess(settings_.memory_mb, settings_.max_descriptors), metrics_);
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -9,6 +9,7 @@
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
 #include "peer/peer_transport.h"
+#include "proxy/connection_budget.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/worker_pool.h"
 #include "quarantine/quarantine_board.h"
@@ -27,6 +28,8 @@
   retry_budget& budget;
   quarantine_board& quarantine;
   metrics::registry& metrics;
+  /// What callers' connections may hold; null for no limits.
+  std::shared_ptr<connection_budget> connections = nullptr;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/gate_proxy.h
+++ b/src/proxy/gate_proxy.h
@@ -10,6 +10,7 @@
 #include "framework/base/result.h"
 #include "framework/metrics/registry.h"
 #include "peer/messages.h"
+#include "proxy/connection_budget.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/worker_pool.h"
 #include "quarantine/quarantine_board.h"
@@ -32,6 +33,8 @@
   /// Called on any thread when an instance states in a response that it is leaving. The gate has
   /// stopped sending it new requests by then.
   std::function<void(const std::string& instance)> on_leaving;
+  /// What other daemons' connections may hold; null for no limits.
+  std::shared_ptr<connection_budget> connections = nullptr;
 };
 
 /// The inbound proxy of the vm's own target. Requests reach the target only through its gate, so
--- /dev/null
+++ b/src/proxy/internal/budget_account.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "proxy/connection_budget.h"
+
+namespace catkinmoor::proxy_internal {
+
+/// What one connection holds of the budget. Used on the worker of the connection only; gives back
+/// everything on destruction.
+class budget_account {
+ public:
+  /// The callback cancels the operations of the connection when it is turned away.
+  budget_account(std::shared_ptr<connection_budget> budget, holder_kind kind,
+                 boost::asio::any_io_executor executor, std::function<void()> cancel);
+  ~budget_account();
+  budget_account(const budget_account&) = delete;
+  budget_account& operator=(const budget_account&) = delete;
+
+  /// Whether the connection is to be closed, since another one needs what it holds.
+  bool IsTurnedAway() const { return state_->turned_away; }
+
+  void SetPhase(holder_phase phase);
+  void RecordProgress(std::size_t bytes);
+
+  /// Draws the bytes of the unparsed data or of the body that the connection is about to hold, and
+  /// waits until the budget has them. Returns false if the connection is turned away.
+  boost::asio::awaitable<bool> HoldBuffer(std::size_t bytes);
+  boost::asio::awaitable<bool> HoldBody(std::size_t bytes);
+
+  /// Draws the bytes of a body if the budget has them now.
+  bool TryHoldBody(std::size_t bytes);
+
+  /// Gives back what was drawn beyond this.
+  void ReleaseBody(std::size_t bytes = 0);
+  void ReleaseBuffer(std::size_t bytes = 0);
+
+ private:
+  struct state {
+    std::function<void()> cancel;
+    std::shared_ptr<connection_budget> budget;
+    byte_budget::holder_id id = 0;
+    holder_phase phase = holder_phase::kIdle;
+    bool turned_away = false;
+  };
+
+  static void TurnAway(state& account);
+  std::int64_t Needed() const;
+  boost::asio::awaitable<bool> Draw();
+  void GiveBack();
+
+  std::shared_ptr<connection_budget> budget_;
+  std::shared_ptr<state> state_;
+  boost::asio::steady_timer timer_;
+  std::int64_t drawn_ = byte_budget::kIdleBytes;
+  std::size_t buffer_bytes_ = 0;
+  std::size_t body_bytes_ = 0;
+};
+
+}  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -136,6 +136,8 @@
       if (draining_) co_return;
       failed = wait_failed;
       while (!failed) {
+        const bool accepts = deps_.connections == nullptr || deps_.connections->MayAccept();
+        if (!accepts) break;
         const std::size_t index = workers_.NextIndex();
         asio::ip::tcp::socket socket(workers_.Context(index));
         acceptor.accept(socket, failed);
@@ -151,6 +153,7 @@
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto caller = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+    OpenAccount(*caller, deps_.connections, holder_kind::kCaller);
     asio::co_spawn(workers_.Context(worker),
                    Serve(shared_from_this(), worker, std::move(caller), kind), asio::detached);
   }
@@ -301,6 +304,10 @@
         call.keep_alive = false;
         co_return co_await dispatcher_.RespondLocally(caller, parser, call, StoppingResponse());
       }
+      if (outcome == body_outcome::kTurnedAway) {
+        call.keep_alive = false;
+        co_return co_await dispatcher_.RespondLocally(caller, parser, call, TurnedAwayResponse());
+      }
       if (outcome == body_outcome::kMalformed) {
         call.keep_alive = false;
         local_response refused =
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -149,6 +149,7 @@
       beast::error_code ignored;
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       auto entry = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+      OpenAccount(*entry, deps_.connections, holder_kind::kPeer);
       asio::co_spawn(workers_.Context(index), Serve(self, index, std::move(entry)), asio::detached);
     }
   }
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -16,7 +16,19 @@
 namespace {
 
 constexpr std::size_t kBlockBytes = 64U << 10U;
+constexpr std::size_t kHeaderReadBytes = 4U << 10U;
 constexpr std::size_t kMaxDiscardedBytes = 256U << 10U;
+// A body that is buffered grows by this much, so that it costs little more than its bytes; the
+// length that its header states is not allocated before the bytes arrive.
+constexpr std::size_t kStepBytes = 16U << 10U;
+// Block of a streamed body while the budget has no room for a larger one. With it, a connection
+// still counts as small and may use the reserve.
+constexpr std::size_t kSmallBlockBytes = 4U << 10U;
+// A buffered body is parsed into this much memory at a time. It is cleared for each chunk, so it is
+// small.
+constexpr std::size_t kParseBytes = 4U << 10U;
+// A connection that is turned away gets its response at once or not at all.
+constexpr milliseconds kTurnAwayTimeout{500};
 
 // Idle timeout assumed for a peer that states none; shorter than the usual server defaults.
 constexpr milliseconds kDefaultPeerIdleTimeout{4'000};
@@ -93,6 +105,77 @@
   co_await timer.async_wait(kAwait);
 }
 
+/// Bytes allocated for a read that waits for data. Most request heads fit.
+constexpr std::size_t kWaitingReadBytes = 2U << 10U;
+
+std::size_t AvailableBytes(connection& from) {
+  beast::error_code failed;
+  const std::size_t available = from.stream.socket().available(failed);
+  return failed ? 0 : available;
+}
+
+/// Reads some bytes into a connection's buffer. A read that has to wait holds only a small buffer;
+/// a larger one is allocated when the data is there and the budget has room for it.
+asio::awaitable<beast::error_code> FillBuffer(connection& from, std::size_t max_bytes,
+                                              milliseconds timeout) {
+  const std::size_t available = AvailableBytes(from);
+  if (from.buffer.size() == 0 && available == 0 && from.buffer.capacity() > kWaitingReadBytes) {
+    from.buffer.shrink_to_fit();
+    if (from.account != nullptr) from.account->ReleaseBuffer();
+  }
+  const std::size_t wanted = std::max(std::min(available, max_bytes), kWaitingReadBytes);
+  const std::size_t room = std::min(wanted, from.buffer.max_size() - from.buffer.size());
+  if (room == 0) co_return bhttp::error::buffer_overflow;
+  if (from.account != nullptr) {
+    // The buffer at least doubles when it grows, and both are held while it is copied.
+    const bool grows = from.buffer.size() + room > from.buffer.capacity();
+    const std::size_t held = grows ? 2 * from.buffer.size() + room : from.buffer.capacity();
+    // The smallest buffer is part of what each connection is charged.
+    const bool drawn = co_await from.account->HoldBuffer(held > kWaitingReadBytes ? held : 0);
+    if (!drawn) co_return asio::error::operation_aborted;
+  }
+  from.stream.expires_after(timeout);
+  auto [failed, count] = co_await from.stream.async_read_some(from.buffer.prepare(room), kAwait);
+  from.buffer.commit(count);
+  if (from.account != nullptr && count > 0) from.account->RecordProgress(count);
+  co_return failed;
+}
+
+/// Reads and parses until a header is complete, some of a body has been parsed, or the parser
+/// fails. The prepare callback is run before each parsing step and provides the memory for the
+/// body.
+template <bool kIsRequest, typename Prepare>
+asio::awaitable<beast::error_code> ParseSome(connection& from,
+                                             bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                             milliseconds timeout, std::size_t max_read_bytes,
+                                             Prepare& prepare) {
+  for (;;) {
+    beast::error_code failed;
+    if (from.buffer.size() > 0) {
+      const bool prepared = co_await prepare(from.buffer.size());
+      if (!prepared) co_return asio::error::operation_aborted;
+      from.buffer.consume(parser.put(from.buffer.data(), failed));
+      if (failed != bhttp::error::need_more) co_return failed;
+    }
+    failed = co_await FillBuffer(from, max_read_bytes, timeout);
+    if (failed == asio::error::eof) {
+      failed = {};
+      if (!parser.got_some()) co_return bhttp::error::end_of_stream;
+      parser.put_eof(failed);
+      co_return failed;
+    }
+    if (failed) co_return failed;
+  }
+}
+
+bool IsTurnedAway(const connection& from) {
+  return from.account != nullptr && from.account->IsTurnedAway();
+}
+
+void SetPhase(connection& from, holder_phase phase) {
+  if (from.account != nullptr) from.account->SetPhase(phase);
+}
+
 /// Copies a body block by block from the parser's stream to the serializer's until both are done.
 /// The sink is the message that the serializer writes; it may differ from the parser's.
 template <bool kIsRequest>
@@ -101,24 +184,49 @@
     bhttp::serializer<kIsRequest, bhttp::buffer_body>& serializer,
     bhttp::message<kIsRequest, bhttp::buffer_body>& sink, transfer_pacing pacing,
     std::uint64_t& transferred_bytes) {
+  // Blocks and unparsed bytes are charged to the accepted connection of the two.
+  budget_account* const account = from.account ? from.account.get() : to.account.get();
+  if (account != nullptr) account->SetPhase(holder_phase::kTransferring);
   std::vector<char> block;
+  // Reads grow with the blocks that the budget has room for.
+  std::size_t max_read_bytes = kStepBytes;
+  const auto prepare = [&](std::size_t unparsed) -> asio::awaitable<bool> {
+    std::size_t wanted = std::min(std::max(unparsed, kWaitingReadBytes), pacing.MaxBlockBytes());
+    if (block.size() < wanted && account != nullptr) {
+      // A connection without an account has as many unparsed bytes as a block, or fewer.
+      const std::size_t copies = from.account == nullptr ? 2 : 1;
+      if (!account->TryHoldBody(copies * wanted)) {
+        wanted = std::min(wanted, kSmallBlockBytes);
+        const bool drawn = co_await account->HoldBody(copies * wanted);
+        if (!drawn) co_return false;
+      }
+    }
+    if (block.size() < wanted) {
+      block = std::vector<char>();
+      block.resize(wanted);
+    }
+    max_read_bytes = wanted > kSmallBlockBytes || account == nullptr ? 2 * wanted : wanted;
+    max_read_bytes = std::min(std::max(max_read_bytes, kSmallBlockBytes), pacing.MaxBlockBytes());
+    parser.get().body().data = block.data();
+    parser.get().body().size = block.size();
+    co_return true;
+  };
   do {
     std::size_t size = 0;
     bool more = false;
     if (!parser.is_done()) {
-      if (block.empty()) {
-        block.resize(pacing.MaxBlockBytes());
-        // A read is limited to the buffer's capacity, which is small at first.
-        const auto left = parser.content_length_remaining();
-        if (!left || *left > block.size() / 4) from.buffer.reserve(block.size());
+      if (from.buffer.size() == 0 && AvailableBytes(from) == 0) {
+        // The wait for data may be long, so it holds no block.
+        block = std::vector<char>();
+        if (account != nullptr) account->ReleaseBody();
       }
-      parser.get().body().data = block.data();
-      parser.get().body().size = block.size();
-      from.stream.expires_after(pacing.progress_timeout);
-      auto [failed, count] =
-          co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
+      parser.get().body().data = nullptr;
+      parser.get().body().size = 0;
+      const beast::error_code failed = co_await ParseSome<kIsRequest>(
+          from, parser, pacing.progress_timeout, max_read_bytes, prepare);
       if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kReadFailed;
-      size = block.size() - parser.get().body().size;
+      const bool parsed_into_block = parser.get().body().data != nullptr;
+      size = parsed_into_block ? block.size() - parser.get().body().size : 0;
       more = !parser.is_done();
       // An empty block would be written as the last chunk and end a body that is not complete.
       if (size == 0 && more) continue;
@@ -133,8 +241,13 @@
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
     transferred_bytes += size;
+    if (to.account != nullptr) to.account->RecordProgress(size);
   } while (!parser.is_done() || !serializer.is_done());
   if (from.buffer.size() == 0) from.buffer.shrink_to_fit();
+  if (account != nullptr) {
+    account->ReleaseBody();
+    account->SetPhase(holder_phase::kServing);
+  }
   co_return transfer_outcome::kComplete;
 }
 
@@ -160,6 +273,21 @@
 
 }  // namespace
 
+void OpenAccount(connection& accepted, const std::shared_ptr<connection_budget>& budget,
+                 holder_kind kind) {
+  if (budget == nullptr || !budget->Enabled()) return;
+  accepted.account = std::make_unique<budget_account>(budget, kind, accepted.stream.get_executor(),
+                                                      [&accepted] { accepted.stream.cancel(); });
+}
+
+local_response TurnedAwayResponse() {
+  local_response response;
+  response.reason = "no-memory";
+  response.failure = {error_kind::kRefused, "read request", "",
+                      "the daemon's memory for callers is used up"};
+  return response;
+}
+
 void RemoveHopByHop(bhttp::fields& fields) {
   std::vector<std::string> listed;
   for (const auto& token : bhttp::token_list(fields[bhttp::field::connection])) {
@@ -188,19 +316,36 @@
                                                const proxy_settings& settings) {
   parser.header_limit(static_cast<std::uint32_t>(settings.max_header_bytes));
   parser.body_limit(static_cast<std::uint64_t>(settings.max_body_bytes));
+  SetPhase(from, holder_phase::kIdle);
   // The wait for the first byte may take the idle timeout; from then on, the header timeout
   // applies.
   if (from.buffer.size() == 0) {
-    from.stream.expires_after(settings.idle_timeout);
-    auto [idle_failed, count] =
-        co_await from.stream.async_read_some(from.buffer.prepare(kBlockBytes / 16), kAwait);
+    from.buffer.shrink_to_fit();
+    const beast::error_code idle_failed =
+        co_await FillBuffer(from, kWaitingReadBytes, settings.idle_timeout);
     if (idle_failed) co_return read_result{};
-    from.buffer.commit(count);
   }
-  from.stream.expires_after(settings.header_timeout);
-  auto [failed, count] =
-      co_await bhttp::async_read_header(from.stream, from.buffer, parser, kAwait);
-  if (!failed) co_return read_result{read_outcome::kRequest, {}};
+  SetPhase(from, holder_phase::kReading);
+  if (from.account != nullptr) {
+    const bool drawn = co_await from.account->HoldBuffer(from.buffer.capacity());
+    if (!drawn) co_return read_result{read_outcome::kMalformed, TurnedAwayResponse()};
+  }
+  const time_point header_deadline = Now() + settings.header_timeout;
+  beast::error_code failed = bhttp::error::need_more;
+  while (!failed || failed == bhttp::error::need_more) {
+    if (from.buffer.size() > 0) {
+      failed = {};
+      from.buffer.consume(parser.put(from.buffer.data(), failed));
+      if (!failed || failed != bhttp::error::need_more) break;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(header_deadline - Now());
+    failed = co_await FillBuffer(from, kHeaderReadBytes, std::max(left, milliseconds(0)));
+  }
+  if (!failed) {
+    SetPhase(from, holder_phase::kServing);
+    co_return read_result{read_outcome::kRequest, {}};
+  }
+  if (IsTurnedAway(from)) co_return read_result{read_outcome::kMalformed, TurnedAwayResponse()};
   if (failed == beast::error::timeout) {
     local_response timed_out = MalformedRequestResponse(failed);
     timed_out.status = 408;
@@ -237,7 +382,7 @@
   message.keep_alive(keep_alive);
   message.prepare_payload();
   if (is_head) message.body().clear();
-  to.stream.expires_after(timeout);
+  to.stream.expires_after(IsTurnedAway(to) ? std::min(timeout, kTurnAwayTimeout) : timeout);
   auto [failed, count] = co_await bhttp::async_write(to.stream, message, kAwait);
   co_return !failed && keep_alive;
 }
@@ -275,9 +420,9 @@
     if (failed) co_return transfer_outcome::kWriteFailed;
   }
   if (!prefix.empty()) {
-    std::string block = prefix;
-    parser.get().body().data = block.data();
-    parser.get().body().size = block.size();
+    // The serializer only reads from the body.
+    parser.get().body().data = const_cast<char*>(prefix.data());
+    parser.get().body().size = prefix.size();
     to.stream.expires_after(progress_timeout);
     auto [write_failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     const bool can_continue = !write_failed || write_failed == bhttp::error::need_buffer;
@@ -289,25 +434,67 @@
                                           transferred_bytes);
 }
 
+namespace {
+
+/// Enlarges a body's memory to hold at least this many bytes, and no more than a step beyond.
+void ReserveExactly(std::string& body, std::size_t bytes) {
+  if (body.capacity() >= bytes) return;
+  // std::string::reserve at least doubles the capacity of a string that has one.
+  std::string enlarged;
+  enlarged.reserve(bytes);
+  enlarged.append(body);
+  body.swap(enlarged);
+}
+
+}  // namespace
+
 template <bool kIsRequest>
 asio::awaitable<body_outcome> ReadRemainingBody(
     connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, std::size_t max_bytes,
     std::string& body, milliseconds progress_timeout) {
-  while (!parser.is_done()) {
-    const std::size_t used = body.size();
-    if (used > max_bytes) co_return body_outcome::kTooLong;
-    const std::size_t room = std::min(max_bytes + 1 - used, kBlockBytes / 4);
+  SetPhase(from, holder_phase::kReading);
+  std::size_t used = body.size();
+  const auto prepare = [&](std::size_t unparsed) -> asio::awaitable<bool> {
+    const std::size_t room = std::min({unparsed, kParseBytes, max_bytes + 1 - used});
+    if (used + room > body.capacity()) {
+      std::size_t limit = max_bytes + 1;
+      const auto left = parser.content_length_remaining();
+      if (left && *left < limit - used) limit = used + static_cast<std::size_t>(*left);
+      // Large bodies grow by a quarter, so that copying them stays cheap.
+      const std::size_t step = std::max(kStepBytes, used / 4);
+      const std::size_t bytes = std::max(used + room, std::min(limit, used + step));
+      if (from.account != nullptr) {
+        const bool drawn = co_await from.account->HoldBody(bytes);
+        if (!drawn) co_return false;
+      }
+      ReserveExactly(body, bytes);
+    }
     body.resize(used + room);
     parser.get().body().data = body.data() + used;
     parser.get().body().size = room;
-    from.stream.expires_after(progress_timeout);
-    auto [failed, count] =
-        co_await bhttp::async_read_some(from.stream, from.buffer, parser, kAwait);
-    body.resize(used + room - parser.get().body().size);
+    co_return true;
+  };
+  while (!parser.is_done()) {
+    used = body.size();
+    if (used > max_bytes) co_return body_outcome::kTooLong;
+    parser.get().body().data = nullptr;
+    parser.get().body().size = 0;
+    const beast::error_code failed =
+        co_await ParseSome<kIsRequest>(from, parser, progress_timeout, kStepBytes, prepare);
+    if (parser.get().body().data != nullptr) body.resize(body.size() - parser.get().body().size);
+    if (IsTurnedAway(from) && !parser.is_done()) {
+      body = std::string();
+      from.buffer.clear();
+      from.buffer.shrink_to_fit();
+      from.account->ReleaseBuffer();
+      from.account->ReleaseBody();
+      co_return body_outcome::kTurnedAway;
+    }
     if (failed && failed != bhttp::error::need_buffer) {
       co_return IsMalformed(failed) ? body_outcome::kMalformed : body_outcome::kDisconnected;
     }
   }
+  SetPhase(from, holder_phase::kServing);
   co_return body.size() <= max_bytes ? body_outcome::kComplete : body_outcome::kTooLong;
 }
 
@@ -320,10 +507,26 @@
 
 asio::awaitable<bool> DiscardBody(connection& from, request_parser& parser,
                                   milliseconds progress_timeout) {
-  std::string discarded;
-  const body_outcome outcome =
-      co_await ReadRemainingBody(from, parser, kMaxDiscardedBytes, discarded, progress_timeout);
-  co_return outcome == body_outcome::kComplete;
+  if (parser.is_done()) co_return true;
+  SetPhase(from, holder_phase::kReading);
+  std::vector<char> block(kWaitingReadBytes);
+  std::size_t discarded = 0;
+  const auto prepare = [&](std::size_t) -> asio::awaitable<bool> {
+    parser.get().body().data = block.data();
+    parser.get().body().size = block.size();
+    co_return true;
+  };
+  while (!parser.is_done()) {
+    if (IsTurnedAway(from) || discarded > kMaxDiscardedBytes) co_return false;
+    parser.get().body().data = nullptr;
+    parser.get().body().size = 0;
+    const beast::error_code failed =
+        co_await ParseSome<true>(from, parser, progress_timeout, kStepBytes, prepare);
+    if (failed && failed != bhttp::error::need_buffer) co_return false;
+    if (parser.get().body().data != nullptr) discarded += block.size() - parser.get().body().size;
+  }
+  SetPhase(from, holder_phase::kServing);
+  co_return discarded <= kMaxDiscardedBytes;
 }
 
 asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout) {
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -23,6 +23,7 @@
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
 #include "framework/pacing/link_pacer.h"
+#include "proxy/internal/budget_account.h"
 #include "proxy/proxy_settings.h"
 
 namespace catkinmoor::proxy_internal {
@@ -48,10 +49,17 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
+  /// What the connection holds of the daemon's budget; null for connections that this daemon opened
+  /// and if there are no limits.
+  std::unique_ptr<budget_account> account;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
 
+/// Makes an accepted connection draw what it holds from the budget.
+void OpenAccount(connection& accepted, const std::shared_ptr<connection_budget>& budget,
+                 holder_kind kind);
+
 /// A response that this daemon generates itself.
 struct local_response {
   unsigned status = 503;
@@ -117,9 +125,13 @@
                                                milliseconds progress_timeout);
 
 /// How reading a body ended.
-enum class body_outcome { kComplete, kTooLong, kMalformed, kDisconnected };
+enum class body_outcome { kComplete, kTooLong, kMalformed, kDisconnected, kTurnedAway };
+
+/// The response to a request that was not read to its end since the budget is exhausted.
+local_response TurnedAwayResponse();
 
 /// Reads the rest of a body into a string. Stops with kTooLong once more than max_bytes are held.
+/// With kTurnedAway, what was read has been released.
 template <bool kIsRequest>
 asio::awaitable<body_outcome> ReadRemainingBody(
     connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, std::size_t max_bytes,
