--- a/src/proxy/internal/budget_account.cc
+++ b/src/proxy/internal/budget_account.cc
@@ -57,6 +57,7 @@
   if (phase == holder_phase::kIdle) {
     buffer_bytes_ = 0;
     body_bytes_ = 0;
+    block_bytes_ = 0;
     GiveBack();
   }
   budget_->SetPhase(state_->id, phase);
@@ -76,10 +77,15 @@
   co_return co_await Draw();
 }
 
-bool budget_account::TryHoldBody(std::size_t bytes) {
+asio::awaitable<bool> budget_account::HoldBlock(std::size_t bytes) {
+  block_bytes_ = bytes;
+  co_return co_await Draw();
+}
+
+bool budget_account::TryHoldBlock(std::size_t bytes) {
   if (state_->turned_away) return false;
-  const std::size_t before = body_bytes_;
-  body_bytes_ = bytes;
+  const std::size_t before = block_bytes_;
+  block_bytes_ = bytes;
   const std::int64_t needed = Needed();
   if (needed <= drawn_) return true;
   if (budget_->TryHold(state_->id, needed)) {
@@ -88,17 +94,22 @@
   }
   // The connection does not wait for these bytes.
   budget_->TryHold(state_->id, drawn_);
-  body_bytes_ = before;
+  block_bytes_ = before;
   return false;
 }
 
-void budget_account::ReleaseBody(std::size_t bytes) {
-  body_bytes_ = std::min(body_bytes_, bytes);
+void budget_account::ReleaseBuffer() {
+  buffer_bytes_ = 0;
+  GiveBack();
+}
+
+void budget_account::ReleaseBody() {
+  body_bytes_ = 0;
   GiveBack();
 }
 
-void budget_account::ReleaseBuffer(std::size_t bytes) {
-  buffer_bytes_ = std::min(buffer_bytes_, bytes);
+void budget_account::ReleaseBlock() {
+  block_bytes_ = 0;
   GiveBack();
 }
 
@@ -106,7 +117,7 @@
   const std::int64_t request =
       state_->phase == holder_phase::kIdle ? 0 : byte_budget::kRequestBytes;
   return byte_budget::kIdleBytes + request +
-         RoundUp(static_cast<std::int64_t>(buffer_bytes_ + body_bytes_));
+         RoundUp(static_cast<std::int64_t>(buffer_bytes_ + body_bytes_ + block_bytes_));
 }
 
 void budget_account::GiveBack() {
--- a/src/proxy/internal/budget_account.h
+++ b/src/proxy/internal/budget_account.h
@@ -26,17 +26,20 @@
   void SetPhase(holder_phase phase);
   void RecordProgress(std::size_t bytes);
 
-  /// Draws the bytes of the unparsed data or of the body that the connection is about to hold, and
-  /// waits until the budget has them. Returns false if the connection is turned away.
+  /// Each draws the bytes of what the connection is about to hold, and waits until the budget has
+  /// them: unparsed data, a body kept for retries, or a block of a streamed body. Returns false if
+  /// the connection is turned away.
   boost::asio::awaitable<bool> HoldBuffer(std::size_t bytes);
   boost::asio::awaitable<bool> HoldBody(std::size_t bytes);
+  boost::asio::awaitable<bool> HoldBlock(std::size_t bytes);
 
-  /// Draws the bytes of a body if the budget has them now.
-  bool TryHoldBody(std::size_t bytes);
+  /// Draws the bytes of a block if the budget has them now.
+  bool TryHoldBlock(std::size_t bytes);
 
-  /// Gives back what was drawn beyond this.
-  void ReleaseBody(std::size_t bytes = 0);
-  void ReleaseBuffer(std::size_t bytes = 0);
+  /// Each gives back all that was drawn for it.
+  void ReleaseBuffer();
+  void ReleaseBody();
+  void ReleaseBlock();
 
  private:
   struct state {
@@ -58,6 +61,7 @@
   std::int64_t drawn_ = byte_budget::kIdleBytes;
   std::size_t buffer_bytes_ = 0;
   std::size_t body_bytes_ = 0;
+  std::size_t block_bytes_ = 0;
 };
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -195,9 +195,9 @@
     if (block.size() < wanted && account != nullptr) {
       // A connection without an account has as many unparsed bytes as a block, or fewer.
       const std::size_t copies = from.account == nullptr ? 2 : 1;
-      if (!account->TryHoldBody(copies * wanted)) {
+      if (!account->TryHoldBlock(copies * wanted)) {
         wanted = std::min(wanted, kSmallBlockBytes);
-        const bool drawn = co_await account->HoldBody(copies * wanted);
+        const bool drawn = co_await account->HoldBlock(copies * wanted);
         if (!drawn) co_return false;
       }
     }
@@ -218,7 +218,7 @@
       if (from.buffer.size() == 0 && AvailableBytes(from) == 0) {
         // The wait for data may be long, so it holds no block.
         block = std::vector<char>();
-        if (account != nullptr) account->ReleaseBody();
+        if (account != nullptr) account->ReleaseBlock();
       }
       parser.get().body().data = nullptr;
       parser.get().body().size = 0;
@@ -245,7 +245,7 @@
   } while (!parser.is_done() || !serializer.is_done());
   if (from.buffer.size() == 0) from.buffer.shrink_to_fit();
   if (account != nullptr) {
-    account->ReleaseBody();
+    account->ReleaseBlock();
     account->SetPhase(holder_phase::kServing);
   }
   co_return transfer_outcome::kComplete;
@@ -634,6 +634,7 @@
   auto& connections = idle_[peer];
   if (static_cast<std::int64_t>(connections.size()) >= limit_) return;
   idle->stream.expires_never();
+  idle->buffer.shrink_to_fit();
   connections.push_back({std::move(idle), Now(), idle_timeout});
 }
 
