--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -198,7 +198,8 @@
     std::uint64_t& transferred_bytes) {
   // Blocks and unparsed bytes are charged to the accepted connection of the two.
   budget_account* const account = from.account ? from.account.get() : to.account.get();
-  if (account != nullptr) account->SetPhase(holder_phase::kTransferring);
+  const bool is_upload = from.account != nullptr;
+  if (is_upload) account->SetPhase(holder_phase::kTransferring);
   std::vector<char> block;
   // Reads grow with the blocks that the budget has room for.
   std::size_t max_read_bytes = kStepBytes;
@@ -249,11 +250,14 @@
     sink.body().data = size == 0 ? nullptr : block.data();
     sink.body().size = size;
     sink.body().more = more;
+    // The caller of a response makes progress by reading it; the wait for its source does not
+    // count.
+    if (!is_upload) SetPhase(to, holder_phase::kTransferring);
     to.stream.expires_after(pacing.progress_timeout);
     auto [failed, count] = co_await bhttp::async_write(to.stream, serializer, kAwait);
     if (failed && failed != bhttp::error::need_buffer) co_return transfer_outcome::kWriteFailed;
+    if (!is_upload) SetPhase(to, holder_phase::kServing);
     transferred_bytes += size;
-    if (to.account != nullptr) to.account->RecordProgress(size);
   } while (!parser.is_done() || !serializer.is_done());
   if (from.buffer.size() == 0) from.buffer.shrink_to_fit();
   if (account != nullptr) {
@@ -488,7 +492,7 @@
   };
   while (!parser.is_done()) {
     used = body.size();
-    if (used > max_bytes) co_return body_outcome::kTooLong;
+    if (used > max_bytes) break;
     parser.get().body().data = nullptr;
     parser.get().body().size = 0;
     const beast::error_code failed =
