Close several unfinished requests at a time at the limit of connections

Cause: at the limit one connection was closed at a time when none was idle. In a trial with 1,500 unfinished heads and 433 connections allowed, an ordinary caller waited in the backlog for more than 10 s. Change: up to 16 are closed at a time, as with idle connections.

--- a/src/proxy/byte_budget.h
+++ b/src/proxy/byte_budget.h
@@ -107,7 +107,9 @@
   bool MayTurnAway(const holder& each, time_point now) const;
   void EndWait(holder& waiting, time_point now);
   bool BeginSelection(time_point now);
-  std::vector<holder_id> Select(std::int64_t bytes, holder_id except, time_point now);
+  /// Selects those with least progress until they free this many bytes or are this many.
+  std::vector<holder_id> Select(std::int64_t bytes, std::size_t max_count, holder_id except,
+                                time_point now);
 
   budget_limits limits_;
   std::unordered_map<holder_id, holder> holders_;
--- a/src/proxy/internal/byte_budget.cc
+++ b/src/proxy/internal/byte_budget.cc
@@ -97,7 +97,7 @@
   const std::int64_t limit = LimitFor(bytes);
   const std::int64_t missing = used_ + bytes - holders_.at(asking).bytes - limit - selected_bytes_;
   if (missing <= 0 || !BeginSelection(now)) return {};
-  return Select(std::max(missing, limits_.bytes / kSelectedDivisor), asking, now);
+  return Select(std::max(missing, limits_.bytes / kSelectedDivisor), holders_.size(), asking, now);
 }
 
 bool byte_budget::MayAccept() const {
@@ -113,7 +113,7 @@
                           each.phase == holder_phase::kIdle && MayTurnAway(each, now);
     if (closable) idle.push_back(id);
   }
-  if (idle.empty()) return Select(kIdleBytes, 0, now);
+  if (idle.empty()) return Select(INT64_MAX, kMaxConnectionsSelected, 0, now);
   const std::size_t count = std::min(idle.size(), kMaxConnectionsSelected);
   std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(),
                     [this](holder_id left, holder_id right) {
@@ -175,8 +175,8 @@
   return true;
 }
 
-std::vector<byte_budget::holder_id> byte_budget::Select(std::int64_t bytes, holder_id except,
-                                                        time_point now) {
+std::vector<byte_budget::holder_id> byte_budget::Select(std::int64_t bytes, std::size_t max_count,
+                                                        holder_id except, time_point now) {
   struct candidate {
     holder_id id;
     bool transferring;
@@ -197,7 +197,7 @@
   std::vector<holder_id> selected;
   std::int64_t freed = 0;
   for (const candidate& each : candidates) {
-    if (freed >= bytes) break;
+    if (freed >= bytes || selected.size() >= max_count) break;
     holder& turned_away = holders_.at(each.id);
     turned_away.selected = true;
     freed += turned_away.bytes;
