Merge the byte budget of a daemon

The budget covers the connections of sessions that read requests ahead; a connection whose earlier requests are still served keeps its phase while the next head is read. The quota authority takes the era of the store into account.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -117,14 +117,14 @@
               settings_.distribution, SeedEndpoints(settings_), random_device_()),
         key_proof_(control_context_, deps_, peers_, exchange_, *strategy_, random_device_()),
         status_(deps_, peers_),
-        quotas_(control_context_, {documents_, members_, peers_, *platform_, metrics_},
+        quotas_(control_context_, {documents_, members_, peers_, *platform_, metrics_, era_},
                 {settings_.vm, self_.Get().version.incarnation, settings_.processor_share,
                  settings_.proxy.mesh_document},
                 settings_.quota),
         workers_(static_cast<std::size_t>(settings_.workers)),
         entry_(workers_,
                {documents_, members_, self_, loads_, budget_, quarantine_, metrics_, key_proofs_,
-                &versions_, &quotas_},
+                &versions_, &quotas_, connection_budget_},
                peers_, MakeProxySettings(settings_)),
         gate_(workers_,
               {self_, ledger_, quarantine_, metrics_,
@@ -139,7 +139,8 @@
                },
                [this](const std::string& instance) {
                  asio::post(control_context_, [=, this] { target_.MarkLeaving(instance); });
-               }},
+               },
+               connection_budget_},
               settings_.proxy),
         departures_(control_context_, *platform_, settings_.vm),
         target_(control_context_, self_, exchange_, gate_, departures_, settings_.target_lease),
@@ -491,6 +492,7 @@
         metrics_.SetGauge("catkinmoor_target_work_time_percent", *load->work_time_percent);
       }
     }
+    connection_budget_->WriteGauges();
     metrics_.SetGauge("catkinmoor_ready", join_.Ready() ? 1 : 0);
     metrics_.SetGauge("catkinmoor_source_confirmed_age_seconds",
                       std::chrono::duration<double>(freshness_.Age(Now())).count());
@@ -538,6 +540,8 @@
   key_proof_controller key_proof_;
   status_controller status_;
   quota_controller quotas_;
+  std::shared_ptr<connection_budget> connection_budget_ = std::make_shared<connection_budget>(
+      LimitsOfProcess(settings_.memory_mb, settings_.max_descriptors), metrics_);
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
--- a/src/distribution/internal/quota_controller.cc
+++ b/src/distribution/internal/quota_controller.cc
@@ -242,9 +242,9 @@
   const auto read = co_await deps_.platform.Read(kRowKey);
   if (!Ok(read) || stopping_) co_return false;
   const std::optional<table_row>& row = Value(read);
-  // The era of the store is not known to its client yet.
+  // A store that states no era is taken for one that never goes back.
   claim_.OnRead(row ? ParseAuthorityRow(row->value) : std::nullopt, row ? row->revision : 0,
-                std::nullopt, sent_at, BootNow());
+                deps_.era.Current(), sent_at, BootNow());
   row_read_at_ = BootNow();
   UpdateAuthority();
   co_return true;
--- a/src/distribution/quota_controller.h
+++ b/src/distribution/quota_controller.h
@@ -16,6 +16,7 @@
 #include "quota/authority_finder.h"
 #include "quota/permit_authority.h"
 #include "store/platform_client.h"
+#include "store/store_era.h"
 
 namespace catkinmoor {
 
@@ -26,6 +27,8 @@
   peer_client& peers;
   platform_client& platform;
   metrics::registry& metrics;
+  /// Era of the store, without which rows may go back unnoticed.
+  const store_era& era;
 };
 
 struct quota_identity {
--- a/src/proxy/entry_proxy.h
+++ b/src/proxy/entry_proxy.h
@@ -10,6 +10,7 @@
 #include "framework/metrics/registry.h"
 #include "membership/member_table.h"
 #include "peer/peer_transport.h"
+#include "proxy/connection_budget.h"
 #include "proxy/proxy_settings.h"
 #include "proxy/worker_pool.h"
 #include "quarantine/quarantine_board.h"
@@ -35,6 +36,8 @@
   version_router* versions = nullptr;
   /// Null where no workspace has a quota.
   quota_controller* quotas = nullptr;
+  /// What callers' connections may hold; null for no limits.
+  std::shared_ptr<connection_budget> connections = nullptr;
 };
 
 /// Whose requests a listener accepts.
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -138,6 +138,8 @@
       if (draining_) co_return;
       failed = wait_failed;
       while (!failed) {
+        const bool accepts = deps_.connections == nullptr || deps_.connections->MayAccept();
+        if (!accepts) break;
         const std::size_t index = workers_.NextIndex();
         asio::ip::tcp::socket socket(workers_.Context(index));
         acceptor.accept(socket, failed);
@@ -152,9 +154,10 @@
   void StartServing(std::size_t worker, asio::ip::tcp::socket socket, listener_kind kind) {
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto opened = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
+    OpenAccount(*opened, deps_.connections, holder_kind::kCaller);
     auto caller = std::make_shared<caller_session>(
-        std::make_unique<connection>(beast::tcp_stream(std::move(socket))),
-        static_cast<std::size_t>(settings_.max_header_bytes));
+        std::move(opened), static_cast<std::size_t>(settings_.max_header_bytes));
     asio::co_spawn(workers_.Context(worker),
                    Serve(shared_from_this(), worker, std::move(caller), kind), asio::detached);
   }
@@ -196,7 +199,7 @@
     const auto request = std::make_shared<caller_request>();
     const bool is_idle = caller->IsEmpty();
     if (is_idle) worker.idle_callers.insert(&from);
-    const read_result read = co_await ReadRequestHeader(from, request->parser, settings_);
+    const read_result read = co_await ReadRequestHeader(from, request->parser, settings_, !is_idle);
     worker.idle_callers.erase(&from);
     if (read.outcome == read_outcome::kDisconnected) co_return false;
     if (read.outcome == read_outcome::kMalformed) {
@@ -383,6 +386,10 @@
       call.keep_alive = false;
       request.refusal = StoppingResponse();
     }
+    if (outcome == body_outcome::kTurnedAway) {
+      call.keep_alive = false;
+      request.refusal = TurnedAwayResponse();
+    }
     if (outcome == body_outcome::kMalformed) {
       call.keep_alive = false;
       request.refusal = NotRunResponse(400, "malformed", "read request", "the body is malformed");
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -23,6 +23,7 @@
 #include "framework/base/endpoint.h"
 #include "framework/base/result.h"
 #include "framework/pacing/link_pacer.h"
+#include "proxy/internal/budget_account.h"
 #include "proxy/proxy_settings.h"
 
 namespace catkinmoor::proxy_internal {
@@ -51,10 +52,17 @@
   /// Whether writing has failed. The error may have been that of a reset, which later reads then do
   /// not return any more.
   bool write_failed = false;
+  /// What the connection holds of the daemon's budget; null for connections that this daemon opened
+  /// and if there are no limits.
+  std::unique_ptr<budget_account> account;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
 
+/// Makes an accepted connection draw what it holds from the budget.
+void OpenAccount(connection& accepted, const std::shared_ptr<connection_budget>& budget,
+                 holder_kind kind);
+
 /// A response that this daemon generates itself.
 struct local_response {
   unsigned status = 503;
@@ -81,7 +89,8 @@
   local_response response;
 };
 asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
-                                               const proxy_settings& settings);
+                                               const proxy_settings& settings,
+                                               bool behind_others = false);
 
 /// Sends a response that this daemon generated. Returns false if the connection cannot be reused.
 asio::awaitable<bool> SendLocalResponse(connection& to, const local_response& response,
@@ -122,9 +131,13 @@
                                                std::uint64_t& transferred_bytes);
 
 /// How reading a body ended.
-enum class body_outcome { kComplete, kTooLong, kMalformed, kDisconnected };
+enum class body_outcome { kComplete, kTooLong, kMalformed, kDisconnected, kTurnedAway };
+
+/// The response to a request that was not read to its end since the budget is exhausted.
+local_response TurnedAwayResponse();
 
 /// Reads the rest of a body into a string. Stops with kTooLong once more than max_bytes are held.
+/// With kTurnedAway, what was read has been released.
 template <bool kIsRequest>
 asio::awaitable<body_outcome> ReadRemainingBody(
     connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, std::size_t max_bytes,
