Count a permit as used when it is taken, and let an authority renew its own row at once

Permits were reported used only when their requests had ended, so that under load the outstanding permits reached their bound. After an outage of the store of 4.5 s the authority could claim its own unchanged row only after the vacancy: 9.4 s without one.

Change: the limit is on requests that are both sent and run in a window, and a request is sent before it takes its permit, so a permit counts as used from then on; one whose use was reported is not given back. A daemon may claim a row of its own that has not changed. A workspace over its rate is told so also in an epoch that has not settled. Asks are at least 50 ms apart instead of 30.

--- a/src/quota/internal/authority_claim.cc
+++ b/src/quota/internal/authority_claim.cc
@@ -97,8 +97,10 @@
 bool authority_claim::MayClaim(boot_time_point now) const {
   if (!read_sent_at_ || now - *read_sent_at_ > kMaxReadGap) return false;
   if (row_ && era_ && row_->era == era_) {
-    const bool restarted = row_->vm == vm_ && row_->incarnation < incarnation_;
-    if (row_->released || restarted) return true;
+    // The row is that of this daemon, from before its start or from before its lease ended: nobody
+    // else has claimed it, and a claim by another one would change the revision.
+    const bool is_own = row_->vm == vm_ && row_->incarnation <= incarnation_;
+    if (row_->released || is_own) return true;
   }
   return now - unchanged_since_ >= kAuthorityVacancy + delay_;
 }
--- a/src/quota/internal/permit_authority.cc
+++ b/src/quota/internal/permit_authority.cc
@@ -134,7 +134,7 @@
     // Otherwise there is room as soon as holders have reported or returned permits.
     const bool idle_elsewhere = from.outstanding > most_outstanding / 2;
     const bool over_rate = total_demand > from.rate;
-    grant.over_limit = Settled(now) && from.level < 1 && (over_rate || !idle_elsewhere);
+    grant.over_limit = from.level < 1 && (over_rate || (Settled(now) && !idle_elsewhere));
     if (!grant.over_limit) grant.retry_after = kMinRetryAfter;
   }
   return grant;
--- a/src/quota/internal/permit_holder.cc
+++ b/src/quota/internal/permit_holder.cc
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr milliseconds kAskInterval{1'000};
-constexpr milliseconds kMinAskInterval{30};
+/// Bounds the load of an authority on a weak vm while many daemons are short of permits.
+constexpr milliseconds kMinAskInterval{50};
 /// Permits that end before the next regular ask will be answered are renewed.
 constexpr milliseconds kRenewBefore{1'200};
 /// Time constant of the demand estimate.
@@ -78,7 +79,7 @@
   for (held_grant& each : of.grants) {
     if (each.ends <= now || each.free == 0) continue;
     --each.free;
-    ++each.taken;
+    ++each.used;
     return permit{workspace, each.authority, each.epoch, each.id};
   }
   if (authority_.empty() || failures_ >= kMaxFailures) {
@@ -92,19 +93,19 @@
 }
 
 void permit_holder::Settle(const permit& taken, bool may_have_run) {
+  if (may_have_run) return;
   holding& of = workspaces_[taken.workspace];
   for (held_grant& each : of.grants) {
-    if (each.id != taken.grant || each.authority != taken.authority || each.epoch != taken.epoch ||
-        each.taken == 0) {
-      continue;
-    }
-    --each.taken;
-    if (may_have_run) {
-      ++each.used;
-    } else {
+    const bool is_same =
+        each.id == taken.grant && each.authority == taken.authority && each.epoch == taken.epoch;
+    if (!is_same) continue;
+    // A use that has been reported no longer counts as outstanding, so its permit must not be used
+    // again.
+    if (each.used > 0) {
+      --each.used;
       ++each.free;
     }
-    break;
+    return;
   }
 }
 
@@ -148,9 +149,9 @@
     if (settlement.used > 0 || settlement.returned > 0) ask.settlements.push_back(settlement);
   }
   std::erase_if(of.grants, [&](const held_grant& each) {
-    // A request in progress may still be reported.
+    // A request that was refused may still give its permit back.
     if (each.ends + (kPermitVoidAfter - kPermitValidity) <= now) return true;
-    return each.free == 0 && each.taken == 0 && each.used == 0;
+    return each.free == 0 && each.used == 0;
   });
   const std::uint32_t wanted = target + static_cast<std::uint32_t>(std::max(0, of.waiting));
   if (of.refused_until <= now && wanted > kept) ask.wanted = wanted - kept;
@@ -198,7 +199,7 @@
     of.ahead = each.ahead;
     if (each.granted > 0) {
       of.grants.push_back(
-          {authority_, epoch_, reply.sequence, asked_at + kPermitValidity, each.granted, 0, 0});
+          {authority_, epoch_, reply.sequence, asked_at + kPermitValidity, each.granted, 0});
       of.refused_until = {};
     } else if (each.retry_after.count() > 0) {
       of.refused_until = now + each.retry_after;
--- a/src/quota/permit_holder.h
+++ b/src/quota/permit_holder.h
@@ -46,14 +46,16 @@
   /// Counts a request that has arrived, for the estimate of the demand.
   void OnRequest(const std::string& workspace, boot_time_point now);
 
-  /// Takes a permit for a request that has been counted.
+  /// Takes a permit for a request that has been counted. The permit counts as used from now on: the
+  /// limit is on requests that are both sent and run in a window, and each was sent before.
   std::variant<permit, permit_refusal> Take(const std::string& workspace, boot_time_point now);
 
   /// Counts the requests that wait for a permit, so that one is asked for each.
   void BeginWait(const std::string& workspace) { ++workspaces_[workspace].waiting; }
   void EndWait(const std::string& workspace) { --workspaces_[workspace].waiting; }
 
-  /// Settles a permit whose request has ended: used if it may have run, else given back.
+  /// Settles a permit whose request has ended. It is given back if the request has not run and the
+  /// use has not been reported yet.
   void Settle(const permit& taken, bool may_have_run);
 
   /// Time at which the next ask is due. None while one is in progress, or if there is nothing to
@@ -82,8 +84,7 @@
     std::uint64_t id = 0;
     boot_time_point ends;
     std::uint32_t free = 0;
-    std::uint32_t taken = 0;
-    /// Not reported yet.
+    /// Taken by requests and not reported yet.
     std::uint32_t used = 0;
   };
 
