Keep the quota authority off weak vms, and limit the asks that it gets

Change: the distance between a daemon's asks grows with the fleet (3 ms for each daemon). Daemons of at least 0.4 cores watch the row besides the three candidates, one in as many as there are 64 daemons, and the others wait 2 s longer.

--- a/src/distribution/internal/quota_controller.cc
+++ b/src/distribution/internal/quota_controller.cc
@@ -138,6 +138,14 @@
   }
 }
 
+std::size_t quota_controller::DaemonCount() const {
+  std::size_t count = 0;
+  for (const auto& [data_centre, members] : deps_.members.View()->data_centres) {
+    count += members.size();
+  }
+  return count;
+}
+
 std::vector<std::string> quota_controller::Candidates() const {
   std::vector<std::string> present;
   const member_view_ptr view = deps_.members.View();
@@ -161,6 +169,7 @@
     bool must_search = false;
     {
       const std::lock_guard lock(mutex_);
+      holder_.SetDaemonCount(DaemonCount());
       must_search = holder_.AuthorityVm().empty() || holder_.Failures() >= kFailuresBeforeSearch;
     }
     if (must_search) candidates = Candidates();
@@ -221,7 +230,9 @@
 
 bool quota_controller::MustWatch(const std::vector<std::string>& candidates) const {
   if (claim_.IsAuthority(BootNow())) return true;
-  if (std::find(candidates.begin(), candidates.end(), identity_.vm) != candidates.end()) {
+  const bool is_candidate =
+      std::find(candidates.begin(), candidates.end(), identity_.vm) != candidates.end();
+  if (is_candidate || WatchesAsStrong(identity_.vm, identity_.processor_share, DaemonCount())) {
     return true;
   }
   const std::lock_guard lock(mutex_);
--- a/src/distribution/quota_controller.h
+++ b/src/distribution/quota_controller.h
@@ -85,6 +85,7 @@
   /// authority.
   bool MustWatch(const std::vector<std::string>& candidates) const;
   std::vector<std::string> Candidates() const;
+  std::size_t DaemonCount() const;
   permit_reply Answer(const permit_ask& ask);
 
   /// Starts or ends this daemon's authority as the claim says, and takes over changed limits.
--- a/src/quota/authority_claim.h
+++ b/src/quota/authority_claim.h
@@ -136,6 +136,13 @@
 /// row themselves only while no authority is found.
 inline constexpr std::size_t kAuthorityCandidates = 3;
 
+/// Processor share, in cores, from which on a vm can answer a fleet of some hundred daemons.
+inline constexpr double kStrongProcessorShare = 0.4;
+
+/// Whether a daemon on a strong vm watches the row besides the candidates, who may all be on weak
+/// ones: one in as many as there are 64 daemons, so that store calls stay few in a large fleet.
+bool WatchesAsStrong(const std::string& vm, double processor_share, std::size_t daemons);
+
 /// The members that watch the row, by rendezvous hash among those that are present.
 std::vector<std::string> AuthorityCandidates(std::vector<std::string> present);
 
--- a/src/quota/internal/authority_claim.cc
+++ b/src/quota/internal/authority_claim.cc
@@ -13,7 +13,8 @@
 namespace bj = boost::json;
 
 constexpr std::size_t kMaxSentWrites = 8;
-constexpr milliseconds kMaxProcessorDelay{600};
+/// A daemon on a weak vm claims the row only if none on a stronger one has.
+constexpr milliseconds kWeakVmDelay{2'000};
 constexpr std::uint64_t kDelaySpreadMs = 300;
 constexpr std::uint64_t kCandidateSeed = 0x71756f7461;
 
@@ -136,12 +137,17 @@
 }
 
 milliseconds ClaimDelay(const std::string& vm, double processor_share) {
-  const double missing = 1 - std::clamp(processor_share, 0.0, 1.0);
-  const auto by_share = milliseconds(
-      static_cast<std::int64_t>(missing * static_cast<double>(kMaxProcessorDelay.count())));
+  const milliseconds by_share =
+      processor_share >= kStrongProcessorShare ? milliseconds(0) : kWeakVmDelay;
   return by_share + milliseconds(StableHash(vm) % kDelaySpreadMs);
 }
 
+bool WatchesAsStrong(const std::string& vm, double processor_share, std::size_t daemons) {
+  constexpr std::size_t kDaemonsPerStep = 64;
+  if (processor_share < kStrongProcessorShare) return false;
+  return StableHash(vm, kCandidateSeed) % (daemons / kDaemonsPerStep + 1) == 0;
+}
+
 std::vector<std::string> AuthorityCandidates(std::vector<std::string> present) {
   const auto weight = [](const std::string& name) { return StableHash(name, kCandidateSeed); };
   const std::size_t count = std::min(kAuthorityCandidates, present.size());
--- a/src/quota/internal/permit_holder.cc
+++ b/src/quota/internal/permit_holder.cc
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr milliseconds kAskInterval{1'000};
-/// Bounds the load of an authority on a weak vm while many daemons are short of permits.
 constexpr milliseconds kMinAskInterval{50};
+/// Added up over the daemons, asks at this distance are about 330 a second when all daemons are
+/// short of permits. An authority that got 800 could no longer answer on a vm of 0.1 cores.
+constexpr milliseconds kAskIntervalPerDaemon{3};
+constexpr milliseconds kMaxAskInterval{500};
 /// Permits that end before the next regular ask will be answered are renewed.
 constexpr milliseconds kRenewBefore{1'200};
 /// Time constant of the demand estimate.
@@ -38,6 +41,11 @@
   for (auto& [name, each] : workspaces_) each.refused_until = {};
 }
 
+void permit_holder::SetDaemonCount(std::size_t count) {
+  min_ask_interval_ = std::clamp(kAskIntervalPerDaemon * static_cast<std::int64_t>(count),
+                                 kMinAskInterval, kMaxAskInterval);
+}
+
 double permit_holder::Demand(const holding& of, boot_time_point now) {
   return of.demand * std::exp(-Seconds(now - of.demand_at) / kDemandSeconds);
 }
@@ -123,7 +131,7 @@
   if (!last_ask_at_) return now;
   const boot_time_point regular = *last_ask_at_ + kAskInterval;
   if (!urgent_at) return regular;
-  const milliseconds pause = failures_ >= kMaxFailures ? kRetryAfterFailure : kMinAskInterval;
+  const milliseconds pause = failures_ >= kMaxFailures ? kRetryAfterFailure : min_ask_interval_;
   return std::min(regular, std::max(*urgent_at, *last_ask_at_ + pause));
 }
 
--- a/src/quota/permit_holder.h
+++ b/src/quota/permit_holder.h
@@ -43,6 +43,9 @@
   const std::string& AuthorityVm() const { return authority_; }
   std::uint64_t AuthorityEpoch() const { return epoch_; }
 
+  /// Sets how many daemons share the authority, on which the distance between asks depends.
+  void SetDaemonCount(std::size_t count);
+
   /// Counts a request that has arrived, for the estimate of the demand.
   void OnRequest(const std::string& workspace, boot_time_point now);
 
@@ -117,6 +120,7 @@
   std::optional<boot_time_point> last_ask_at_;
   std::optional<boot_time_point> last_answer_at_;
   /// Asks in a row that were not answered.
+  milliseconds min_ask_interval_{50};
   int failures_ = 0;
 };
 
--- a/src/quota/tests/quota_fleet.cc
+++ b/src/quota/tests/quota_fleet.cc
@@ -24,6 +24,7 @@
 
 void quota_fleet::Start(member& of) {
   of.holder = std::make_unique<permit_holder>(of.vm, of.incarnation);
+  of.holder->SetDaemonCount(members_.size());
   of.claim = std::make_unique<authority_claim>(of.vm, of.incarnation, ClaimDelay(of.vm, 0.5));
   of.authority.reset();
   of.finder = {};
