Wait longer for the answer of a slow quota authority

With 400 ms an authority that needs longer under load answers only asks that have been given up, and each is repeated.

Change: asks time out after 1.5 s. One is under way per daemon, so that a slow authority gets fewer.

--- a/src/distribution/internal/quota_controller.cc
+++ b/src/distribution/internal/quota_controller.cc
@@ -17,7 +17,9 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr const char* kRowKey = "quota/authority";
-constexpr milliseconds kAskTimeout{400};
+/// Each daemon has one ask under way, so that an authority that is slow gets fewer. With a timeout
+/// below its response time it would answer only asks that have been given up.
+constexpr milliseconds kAskTimeout{1'500};
 /// Time between checks whether an ask is due. A request that waits for a permit is not held up by
 /// it.
 constexpr milliseconds kAskCheckInterval{100};
