--- a/src/process_tests/tests/crowd_test.cc
+++ b/src/process_tests/tests/crowd_test.cc
@@ -3,6 +3,7 @@
 // descriptors than its settings allow. The tests check no times and no share of served requests.
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
@@ -52,7 +53,9 @@
     for (std::size_t i = 0; i < kCallers; ++i) {
       const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
       Require(socket >= 0, "no socket for a caller");
-      ::connect(socket, reinterpret_cast<const sockaddr*>(&entry), sizeof(entry));
+      const int connected =
+          ::connect(socket, reinterpret_cast<const sockaddr*>(&entry), sizeof(entry));
+      Require(connected == 0 || errno == EINPROGRESS, "a caller cannot connect");
       callers_.push_back({socket});
     }
   }
--- a/src/proxy/tests/byte_budget_test.cc
+++ b/src/proxy/tests/byte_budget_test.cc
@@ -177,6 +177,7 @@
 Test(byte_budget, at_the_connection_limit_closes_the_oldest_idle_connections) {
   byte_budget budget({0, 100});
   std::vector<holder_id> idle;
+  idle.reserve(100);
   for (int i = 0; i < 100; ++i) idle.push_back(budget.Open(holder_kind::kCaller, At(i)));
   cr_assert(!budget.MayAccept());
   const auto selected = budget.SelectForConnection(At(2'000));
