Reach a quota authority that is not known as a member yet

Change: the authority's row and the replies of the candidates state its control endpoint, which is used until the member is known. Messages name their recipient, so that another vm at that address takes nothing.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -119,7 +119,7 @@
         status_(deps_, peers_),
         quotas_(control_context_, {documents_, members_, peers_, *platform_, metrics_, era_},
                 {settings_.vm, self_.Get().version.incarnation, settings_.processor_share,
-                 settings_.proxy.mesh_document},
+                 settings_.proxy.mesh_document, ToString(self_.Get().control)},
                 settings_.quota),
         workers_(static_cast<std::size_t>(settings_.workers)),
         entry_(workers_,
--- a/src/distribution/internal/quota_controller.cc
+++ b/src/distribution/internal/quota_controller.cc
@@ -41,7 +41,9 @@
       holder_(identity_.vm, identity_.incarnation),
       claim_(identity_.vm, identity_.incarnation,
              ClaimDelay(identity_.vm, identity_.processor_share)),
-      searching_since_(BootNow()) {}
+      searching_since_(BootNow()) {
+  claim_.SetControl(identity_.control);
+}
 
 void quota_controller::Start() {
   if (!Enabled()) return;
@@ -200,12 +202,13 @@
   }
   result<permit_reply> reply =
       error{error_kind::kUnavailable, "permits", ask.recipient, "not a present member"};
-  const member_ptr recipient = deps_.members.Find(ask.recipient);
+  const std::optional<endpoint> recipient = EndpointOf(ask.recipient);
   if (ask.recipient == identity_.vm) {
     reply = Answer(ask);
-  } else if (recipient != nullptr && IsPresent(*recipient)) {
-    reply = co_await deps_.peers.Permits(recipient->control, std::move(ask), kAskTimeout);
+  } else if (recipient) {
+    reply = co_await deps_.peers.Permits(*recipient, std::move(ask), kAskTimeout);
   }
+  if (Ok(reply)) LearnEndpoint(Value(reply).authority, Value(reply).control);
   {
     const std::lock_guard lock(mutex_);
     const boot_time_point now = BootNow();
@@ -219,6 +222,21 @@
   WakeWaiting();
 }
 
+void quota_controller::LearnEndpoint(const std::string& vm, const std::string& control) {
+  const auto parsed = ParseEndpoint(control);
+  if (vm.empty() || !Ok(parsed)) return;
+  learnt_vm_ = vm;
+  learnt_endpoint_ = Value(parsed);
+}
+
+std::optional<endpoint> quota_controller::EndpointOf(const std::string& vm) const {
+  const member_ptr member = deps_.members.Find(vm);
+  if (member != nullptr && IsPresent(*member)) return member->control;
+  // The message names its recipient, so that another vm at this address takes nothing.
+  if (vm == learnt_vm_) return learnt_endpoint_;
+  return std::nullopt;
+}
+
 void quota_controller::OnAnswered(const permit_reply& reply, boot_time_point now) {
   searching_since_ = now;
   if (reply.epoch == answered_epoch_ && reply.authority == answered_by_) return;
@@ -259,6 +277,7 @@
   claim_.OnRead(row ? ParseAuthorityRow(row->value) : std::nullopt, row ? row->revision : 0,
                 deps_.era.Current(), sent_at, BootNow());
   row_read_at_ = BootNow();
+  if (claim_.LastRow()) LearnEndpoint(claim_.LastRow()->vm, claim_.LastRow()->control);
   UpdateAuthority();
   co_return true;
 }
@@ -317,6 +336,7 @@
   if (row && !row->released) {
     reply.authority = row->vm;
     reply.epoch = row->epoch;
+    reply.control = row->control;
   }
   return reply;
 }
--- a/src/distribution/quota_controller.h
+++ b/src/distribution/quota_controller.h
@@ -39,6 +39,8 @@
   double processor_share = 1;
   /// Document that holds the workspaces.
   std::string document;
+  /// Endpoint at which other daemons reach this one.
+  std::string control = {};
 };
 
 /// Applies the quotas of workspaces to this daemon's requests, and is the quota authority of the
@@ -92,12 +94,20 @@
   void UpdateAuthority();
   std::optional<authority_row> FreshRow(boot_time_point now) const;
   void OnAnswered(const permit_reply& reply, boot_time_point now);
+
+  /// Remembers where the authority is reached. After a restart of all daemons its member record
+  /// arrives later than its name.
+  void LearnEndpoint(const std::string& vm, const std::string& control);
+  std::optional<endpoint> EndpointOf(const std::string& vm) const;
   void WakeWaiting();
   void CountRefusal(const std::string& workspace, const permit_refusal& refusal);
 
   boost::asio::io_context& context_;
   quota_dependencies deps_;
   quota_identity identity_;
+  /// The vm whose endpoint was learnt last, and the endpoint. Used on the controller's thread only.
+  std::string learnt_vm_;
+  endpoint learnt_endpoint_;
   quota_settings settings_;
   std::atomic<bool> stopping_ = false;
   boost::asio::steady_timer ask_timer_;
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -590,6 +590,7 @@
   to.set_sequence(from.sequence);
   to.set_epoch(from.epoch);
   to.set_authority(from.authority);
+  to.set_control(from.control);
   for (const workspace_grant& each : from.grants) {
     wire::WorkspaceGrant& grant = *to.add_grants();
     grant.set_workspace(each.workspace);
@@ -605,7 +606,8 @@
         from.sequence(),
         from.epoch(),
         from.authority(),
-        {}};
+        {},
+        from.control()};
   for (const wire::WorkspaceGrant& each : from.grants()) {
     to.grants.push_back({each.workspace(), each.granted(), milliseconds(each.ahead_ms()),
                          milliseconds(each.retry_after_ms()), each.over_limit()});
--- a/src/quota/authority_claim.h
+++ b/src/quota/authority_claim.h
@@ -24,6 +24,8 @@
   bool released = false;
   /// Era of the store when the row was written, if the writer knew it.
   std::optional<std::uint64_t> era = std::nullopt;
+  /// Control endpoint of the authority, for daemons that do not know it as a member yet.
+  std::string control = {};
 
   friend bool operator==(const authority_row&, const authority_row&) = default;
 };
@@ -59,6 +61,9 @@
   authority_claim(std::string vm, std::uint64_t incarnation, milliseconds delay)
       : vm_(std::move(vm)), incarnation_(incarnation), delay_(delay) {}
 
+  /// Sets the control endpoint that the rows of this daemon state.
+  void SetControl(std::string control) { control_ = std::move(control); }
+
   /// Takes over the answer to a read of the row. `sent_at` is when the read was sent, `now` when
   /// the answer arrived. `era` is the store's era if it is known.
   void OnRead(const std::optional<authority_row>& row, std::uint64_t revision,
@@ -101,6 +106,7 @@
 
   std::string vm_;
   std::uint64_t incarnation_;
+  std::string control_;
   milliseconds delay_;
   std::optional<authority_row> row_;
   std::uint64_t revision_ = 0;
--- a/src/quota/internal/authority_claim.cc
+++ b/src/quota/internal/authority_claim.cc
@@ -38,6 +38,7 @@
                     {"epoch", row.epoch},     {"renewal", row.renewal},
                     {"settled", row.settled}, {"released", row.released}};
   if (row.era) object["era"] = *row.era;
+  if (!row.control.empty()) object["control"] = row.control;
   return bj::serialize(object);
 }
 
@@ -52,6 +53,8 @@
                     ReadNumber(*object, "epoch"), ReadNumber(*object, "renewal"),
                     ReadFlag(*object, "settled"), ReadFlag(*object, "released")};
   if (object->contains("era")) row.era = ReadNumber(*object, "era");
+  const bj::value* control = object->if_contains("control");
+  if (control != nullptr && control->is_string()) row.control = std::string(control->as_string());
   return row;
 }
 
@@ -109,7 +112,7 @@
 std::optional<authority_claim::row_claim> authority_claim::NextWrite(bool settled,
                                                                      boot_time_point now) {
   if (held_ && now >= lease_end_) held_.reset();
-  authority_row row{vm_, incarnation_, 0, 0, false, false, era_};
+  authority_row row{vm_, incarnation_, 0, 0, false, false, era_, control_};
   bool predecessor_settled = true;
   if (held_) {
     row.epoch = held_->epoch;
--- a/src/quota/permit_messages.h
+++ b/src/quota/permit_messages.h
@@ -70,6 +70,8 @@
   std::uint64_t epoch = 0;
   std::string authority;
   std::vector<workspace_grant> grants;
+  /// Control endpoint of the authority, if the receiver is not the authority itself.
+  std::string control = {};
 
   friend bool operator==(const permit_reply&, const permit_reply&) = default;
 };
