Let the choice by cost and three tests pass the linter

Change: the nearest bucket is found with lround; the rest are names and casts. No check or bound is changed.

--- a/src/rollout/tests/rollout_verdict_test.cc
+++ b/src/rollout/tests/rollout_verdict_test.cc
@@ -82,7 +82,7 @@
 Test(conductor_lease, with_a_renewed_row_waits) {
   conductor_lease other;
   for (int i = 0; i < 20; ++i) {
-    const conductor_row row = Row(7, rollout_phase::kCanary, static_cast<std::uint64_t>(i + 1));
+    const conductor_row row = Row(7, rollout_phase::kCanary, static_cast<std::uint64_t>(i) + 1);
     cr_assert(other.Observe(row, 7, "b", false, At(i * 1'000)) == conductor_lease::step::kWait);
   }
 }
--- a/src/routing/internal/request_cost.cc
+++ b/src/routing/internal/request_cost.cc
@@ -21,7 +21,7 @@
 
 std::string CombinationOf(const cost_key& key) {
   // Sizes within a factor of four are alike.
-  const int size_class = (std::bit_width(key.body_bytes) + 1) / 2;
+  const auto size_class = (std::bit_width(key.body_bytes) + 1) / 2;
   return key.route + '\n' + key.workspace + '\n' + std::to_string(size_class);
 }
 
@@ -32,7 +32,7 @@
   total = total * kRetainedWeight + 1;
   sum_ms = sum_ms * kRetainedWeight + static_cast<float>(cost_ms);
   const double step = std::log(std::max(1.0, cost_ms)) / std::log(kBucketRatio);
-  const auto bucket = std::min(static_cast<std::size_t>(step + 0.5), kBuckets - 1);
+  const auto bucket = std::min(static_cast<std::size_t>(std::lround(step)), kBuckets - 1);
   weights[bucket] += 1;
 }
 
--- a/src/routing/tests/request_cost_test.cc
+++ b/src/routing/tests/request_cost_test.cc
@@ -11,7 +11,6 @@
 
 namespace {
 
-using catkinmoor::cost_estimate;
 using catkinmoor::cost_key;
 using catkinmoor::document;
 using catkinmoor::load_board;
--- a/src/workspace/tests/caller_key_test.cc
+++ b/src/workspace/tests/caller_key_test.cc
@@ -8,7 +8,6 @@
 using catkinmoor::CheckKey;
 using catkinmoor::CredentialsOf;
 using catkinmoor::DigestKey;
-using catkinmoor::document;
 using catkinmoor::key_outcome;
 using catkinmoor::parsed_document;
 using catkinmoor::route;
