--- a/review/stand_ins-2/fleet.h
+++ b/review/stand_ins-2/fleet.h
@@ -675,19 +675,31 @@
       throw cannot_run(
           "target/platform/catkinmoord_sidecar is missing: run the deploy file's build");
     }
-    for (auto& each : machines_) each->Start(folder_, network_ + "1", bounds, limits);
-    const auto end = clock_type::now() + 30s;
-    for (auto& each : machines_) {
-      while (!each->IsReady()) {
-        if (clock_type::now() > end) throw cannot_run("a daemon did not get ready");
-        Sleep(50ms);
-      }
-    }
+    bounds_ = bounds;
+    limits_ = limits;
+    for (auto& each : machines_) each->Start(folder_, network_ + "1", bounds_, limits_);
+    for (auto& each : machines_) AwaitReady(*each);
     // Two heartbeats, so that all daemons know all back ends.
     Sleep(3s);
   }
 
+  /// Starts the daemon of a machine again after its process has ended.
+  void Restart(machine& ended) {
+    ended.Start(folder_, network_ + "1", bounds_, limits_);
+    AwaitReady(ended);
+  }
+
  private:
+  void AwaitReady(const machine& started) const {
+    const auto end = clock_type::now() + 30s;
+    while (!started.IsReady()) {
+      if (clock_type::now() > end) throw cannot_run("a daemon did not get ready");
+      Sleep(50ms);
+    }
+  }
+
+  bj::object bounds_;
+  bj::object limits_;
   std::string network_;
   std::string folder_;
   std::unique_ptr<store> store_;
