Take over what the store has accepted, or say that it is not

What callers saw: once the operator's configuration had more than 4,096 routes, requests went on to the old service, new routes got 404, and a removed key was admitted without end. Nothing was logged.

Cause: the limits and checks for authors were applied to what the store had accepted already, and source_controller took the refusal for "nothing new": it moved the position on, recorded the proof that keys are fresh and confirmed its documents to others.

Change: ReadAcceptedDocument reads accepted texts without limits and fails only for those that cannot be interpreted. An entry of the source that cannot be taken over holds the position, the proof about keys and the confirmations back until it or a newer one is taken over; it is logged, counted and read again. The same for rows that cannot be parsed, decoded or that were removed, pages that were cut, gaps in the change log, stale reads, and frames between daemons.

--- a/src/distribution/document_board.h
+++ b/src/distribution/document_board.h
@@ -17,7 +17,7 @@
 /// Result of offering a version.
 enum class offer_outcome { kNewer, kAlreadyHeld, kOlder, kRefused };
 
-/// A version that this daemon refused, and why.
+/// A version that this daemon refused, and why. The version is 0 if the text does not tell it.
 struct refused_version {
   std::string service;
   std::uint64_t version = 0;
@@ -34,16 +34,19 @@
   friend bool operator==(const in_force_document&, const in_force_document&) = default;
 };
 
-/// Shared state: the newest document of each service. A version is held once it has been fully
-/// validated. It is put in force once a witness, another daemon of the same data centre, is known
+/// Shared state: the newest document of each service. A version is held once its text has
+/// been read. It is put in force once a witness, another daemon of the same data centre, is known
 /// to hold it too: after a restart this daemon can then always learn from its peers which versions
 /// it had in force. Versions never go back, whatever order they arrive in. Thread-safe.
 class document_board {
  public:
-  /// Validates a version fully and holds it if it is newer than the one held. A witnessed version
-  /// is put in force at once.
+  /// Holds a version if it is newer than the one held. A version is refused only if its text is not
+  /// the accepted one or cannot be interpreted. A witnessed version is put in force at once.
   offer_outcome Offer(const document_version& offered, bool witnessed);
 
+  /// Records a version that was refused before it could be offered.
+  void RecordRefusal(refused_version refused);
+
   /// Puts the held version in force after a witness was found for it. Ignored unless `version` is
   /// the version held.
   void MarkWitnessed(const std::string& service, std::uint64_t version);
@@ -75,9 +78,13 @@
   /// Every version in force.
   std::vector<in_force_document> AllInForce() const;
 
-  /// The latest refusal of each service, unless a newer version has been held since.
+  /// The refusal of the newest refused version of each service, unless that version or a newer one
+  /// has been held since.
   std::vector<refused_version> Refusals() const;
 
+  /// Why the newest refused version of a service was refused; empty if none is recorded.
+  std::string RefusalReason(const std::string& service) const;
+
   /// Order-independent hash over (service, version, digest) of the held documents in one bucket.
   std::uint64_t BucketHash(std::size_t bucket) const;
 
@@ -107,6 +114,7 @@
   std::optional<offer_outcome> OfferWithoutParsing(const document_version& offered, bool witnessed);
   static void PutInForce(document_state& state);
   offer_outcome Refuse(const document_version& offered, std::string reason);
+  static bool IsSettled(const refused_version& refusal, std::uint64_t held_version);
   shard& ShardOf(const std::string& service) { return shards_[BucketOf(service)]; }
   const shard& ShardOf(const std::string& service) const { return shards_[BucketOf(service)]; }
 
--- a/src/distribution/internal/document_board.cc
+++ b/src/distribution/internal/document_board.cc
@@ -39,7 +39,7 @@
   if (Sha256Hex(offered.text) != offered.digest) {
     return Refuse(offered, "the text does not match its digest");
   }
-  auto parsed = ParseDocument(offered.text);
+  auto parsed = ReadAcceptedDocument(offered.text);
   if (const auto* problems = std::get_if<json::problems>(&parsed)) {
     return Refuse(offered, json::FormatProblems(*problems));
   }
@@ -66,7 +66,7 @@
       service_shard.last_change = std::max(service_shard.last_change, offered.change);
       if (state.held == state.in_force) state.unwitnessed_since = Now();
       state.held = std::move(active);
-      state.refusal.reset();
+      if (state.refusal && IsSettled(*state.refusal, offered.version)) state.refusal.reset();
       if (witnessed) PutInForce(state);
       return offer_outcome::kNewer;
     }
@@ -91,13 +91,22 @@
 }
 
 offer_outcome document_board::Refuse(const document_version& offered, std::string reason) {
-  shard& service_shard = ShardOf(offered.service);
-  const std::unique_lock<std::shared_mutex> lock(service_shard.mutex);
-  service_shard.entries[offered.service].refusal =
-      refused_version{offered.service, offered.version, std::move(reason)};
+  RecordRefusal({offered.service, offered.version, std::move(reason)});
   return offer_outcome::kRefused;
 }
 
+void document_board::RecordRefusal(refused_version refused) {
+  shard& service_shard = ShardOf(refused.service);
+  const std::unique_lock<std::shared_mutex> lock(service_shard.mutex);
+  std::optional<refused_version>& recorded = service_shard.entries[refused.service].refusal;
+  if (!recorded || IsSettled(*recorded, refused.version)) recorded = std::move(refused);
+}
+
+/// Whether a refusal no longer counts once a version is held, or a refusal of it is recorded.
+bool document_board::IsSettled(const refused_version& refusal, std::uint64_t held_version) {
+  return refusal.version <= held_version;
+}
+
 void document_board::MarkWitnessed(const std::string& service, std::uint64_t version) {
   shard& service_shard = ShardOf(service);
   const std::unique_lock<std::shared_mutex> lock(service_shard.mutex);
@@ -199,6 +208,14 @@
   return refusals;
 }
 
+std::string document_board::RefusalReason(const std::string& service) const {
+  const shard& service_shard = ShardOf(service);
+  const std::shared_lock<std::shared_mutex> lock(service_shard.mutex);
+  const auto found = service_shard.entries.find(service);
+  const bool is_recorded = found != service_shard.entries.end() && found->second.refusal;
+  return is_recorded ? found->second.refusal->reason : std::string();
+}
+
 std::uint64_t document_board::BucketHash(std::size_t bucket) const {
   const std::shared_lock<std::shared_mutex> lock(shards_[bucket].mutex);
   return shards_[bucket].hash;
--- a/src/distribution/internal/record_exchange.cc
+++ b/src/distribution/internal/record_exchange.cc
@@ -113,11 +113,11 @@
 }
 
 void record_exchange::SpreadSourceRead(std::vector<document_version> documents, spread_range range,
-                                       time_point read_at) {
+                                       time_point read_at, bool is_current) {
   spread_request message = MakeSpread({range, ""});
   const bool has_documents = !documents.empty();
   message.documents = std::move(documents);
-  if (strategy_.SpreadsConfirmations() &&
+  if (is_current && strategy_.SpreadsConfirmations() &&
       (has_documents || deps_.freshness.ShouldConfirm(read_at))) {
     message.confirmation =
         source_confirmation{read_at, DocumentHash(), deps_.documents.LastChange(),
--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -23,9 +23,17 @@
 constexpr double kStandbyReadShare = 0.42;
 constexpr double kOwnReadShare = 0.56;
 constexpr double kOwnReadJitterShare = 0.1;
+/// Delays before a refused entry is read again: its bytes may have been damaged on their way.
+constexpr milliseconds kMinRereadDelay{500};
+constexpr milliseconds kMaxRereadDelay{8'000};
 /// Longest delay between two failed reads of a daemon that needs a proof.
 constexpr double kProofRetryShare = 0.3;
 
+constexpr std::size_t kMaxLoggedReason = 500;
+
+/// Name of an order among the entries of the source.
+std::string OrderName(const rollout_order& order) { return "rollout/" + order.service; }
+
 }  // namespace
 
 source_controller::source_controller(asio::io_context& context, distribution_dependencies deps,
@@ -151,6 +159,10 @@
     const auto read = co_await ReadOnce(milliseconds(0), spread_range::kRegion);
     if (!Ok(read)) co_return Failure(read);
     if (Value(read)) continue;
+    if (HasRefusedDocuments()) {
+      co_return error{error_kind::kRefused, "catch up", "source",
+                      "the newest version of a document cannot be taken over"};
+    }
     deps_.freshness.OnConfirmed(Now());
     // As above, so that a daemon that has just joined waits for the answers of readers.
     deps_.key_proofs.OnReaderHeard(BootNow());
@@ -160,28 +172,38 @@
 
 asio::awaitable<result<bool>> source_controller::ReadOnce(milliseconds wait, spread_range range) {
   deps_.metrics.IncrementCounter("catkinmoor_source_reads_total");
-  const std::uint64_t previous = position_;
+  if (RewindIfDue()) wait = milliseconds(0);
+  const std::uint64_t previous = read_position_;
   const boot_time_point asked_at = BootNow();
-  auto update = co_await source_.FetchUpdate(previous, wait);
-  if (!Ok(update)) co_return Failure(update);
+  auto fetched = co_await source_.FetchUpdate(previous, wait);
+  if (!Ok(fetched)) co_return Failure(fetched);
+  source_update& update = Value(fetched);
   const time_point read_at = Now();
-  exchange_.SpreadSourceRead(OfferAll(std::move(Value(update).documents)), range, read_at);
-  for (const rollout_order& each : Value(update).orders) {
+  std::vector<document_version> newer = OfferAll(std::move(update.documents));
+  for (const rollout_order& each : update.orders) {
+    ClearRefused(OrderName(each));
     if (on_order_) on_order_(each, range);
   }
+  for (const unusable_entry& each : update.unusable) RecordUnusable(each);
+  const bool is_current = !HasRefusedDocuments();
+  exchange_.SpreadSourceRead(std::move(newer), range, read_at, is_current);
   // A long poll without a change proves the state only as of when it was sent. The documents are
   // held by now.
-  deps_.key_proofs.OnOwnRead(asked_at);
-  const bool restarted = Value(update).restarted;
-  position_ =
-      restarted ? Value(update).position : std::max(position_.load(), Value(update).position);
-  co_return restarted || position_ > previous;
+  if (is_current) deps_.key_proofs.OnOwnRead(asked_at);
+  AdvancePosition(update);
+  co_return update.restarted || read_position_ > previous;
 }
 
 std::vector<document_version> source_controller::OfferAll(std::vector<document_version> documents) {
   std::vector<document_version> updates;
   for (document_version& each : documents) {
-    if (deps_.documents.Offer(each, false) != offer_outcome::kNewer) continue;
+    const offer_outcome outcome = deps_.documents.Offer(each, false);
+    if (outcome == offer_outcome::kRefused) {
+      SetRefused(each.service, true, deps_.documents.RefusalReason(each.service));
+      continue;
+    }
+    ClearRefused(each.service);
+    if (outcome != offer_outcome::kNewer) continue;
     logging::Info("newer document version received and held",
                   {{"from", "source"},
                    {"service", each.service},
@@ -191,4 +213,55 @@
   return updates;
 }
 
+bool source_controller::RewindIfDue() {
+  if (refused_.empty() || Now() < reread_at_) return false;
+  read_position_ = position_;
+  reread_delay_ = std::min(reread_delay_ * 2, kMaxRereadDelay);
+  reread_at_ = Now() + reread_delay_;
+  return true;
+}
+
+void source_controller::RecordUnusable(const unusable_entry& entry) {
+  if (entry.is_document) deps_.documents.RecordRefusal({entry.name, 0, entry.reason});
+  SetRefused(entry.name, entry.is_document, entry.reason);
+}
+
+void source_controller::SetRefused(const std::string& name, bool is_document,
+                                   const std::string& reason) {
+  deps_.metrics.IncrementCounter("catkinmoor_source_refusals_total");
+  logging::Warning(is_document
+                       ? "accepted version refused; documents are out of date and not confirmed"
+                       : "accepted row refused; it has no effect",
+                   {{"name", name},
+                    {"position", Position()},
+                    {"reason", std::string_view(reason).substr(0, kMaxLoggedReason)}});
+  if (refused_.empty()) {
+    reread_delay_ = kMinRereadDelay;
+    reread_at_ = Now() + reread_delay_;
+  }
+  refused_[name] = is_document;
+}
+
+void source_controller::ClearRefused(const std::string& name) {
+  if (refused_.erase(name) == 0) return;
+  logging::Info("refused entry of the source is settled by a usable one", {{"name", name}});
+}
+
+bool source_controller::HasRefusedDocuments() const {
+  return std::any_of(refused_.begin(), refused_.end(),
+                     [](const auto& each) { return each.second; });
+}
+
+void source_controller::AdvancePosition(const source_update& update) {
+  if (update.restarted) {
+    // Earlier positions are of another count.
+    position_ = 0;
+    read_position_ = update.position;
+  } else {
+    read_position_ = std::max(read_position_, update.position);
+  }
+  if (refused_.empty()) position_ = std::max(position_.load(), read_position_);
+  deps_.metrics.SetGauge("catkinmoor_source_refused_entries", static_cast<double>(refused_.size()));
+}
+
 }  // namespace catkinmoor
--- a/src/distribution/internal/status_controller.cc
+++ b/src/distribution/internal/status_controller.cc
@@ -75,7 +75,8 @@
     return status;
   }
   for (const refused_version& each : deps_.documents.Refusals()) {
-    if (each.service != service || each.version < version) continue;
+    if (each.service != service) continue;
+    if (each.version != 0 && each.version < version) continue;
     status.refused = 1;
     status.lagging_members.push_back({self.vm, "refused: " + each.reason});
     return status;
--- a/src/distribution/record_exchange.h
+++ b/src/distribution/record_exchange.h
@@ -56,9 +56,9 @@
   void SpreadDocuments(std::vector<document_version> documents, spread_range range);
 
   /// Spreads what a read of the source at `read_at` returned, and confirms to the daemons in range
-  /// that this daemon's documents were then the newest.
+  /// that this daemon's documents were then the newest, if they were.
   void SpreadSourceRead(std::vector<document_version> documents, spread_range range,
-                        time_point read_at);
+                        time_point read_at, bool is_current);
 
   /// Merges a record that originates at this daemon, and spreads it if it was newer.
   void AnnounceMember(const member_record& record);
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -125,6 +125,35 @@
   cr_assert(board.Refusals().empty());
 }
 
+// Guards against an accepted configuration of many routes that is never in force (config-42).
+Test(document_board, offered_more_routes_than_an_author_may_submit_puts_them_in_force) {
+  constexpr int kRoutes = 5'000;
+  std::string text =
+      R"({"schema": 1, "service": "slotboard", "owner": "fitting", "routes": [)";
+  for (int i = 0; i < kRoutes; ++i) {
+    const std::string number = std::to_string(i);
+    text += (i == 0 ? "" : ",") + (R"({"name": "r)" + number + R"(", "match": {"prefix": "/)") +
+            number + R"(/"}, "class": "browse", "repeatable": true})";
+  }
+  text += "]}";
+  document_board board;
+  board.Offer(ValidVersion(1), true);
+  cr_assert(board.Offer(Version(2, text), true) == offer_outcome::kNewer);
+  cr_assert_eq(InForce(board), 2U);
+  cr_assert_eq(board.InForce("slotboard")->content.routes.size(), std::size_t{kRoutes});
+}
+
+Test(document_board, offered_a_valid_version_before_a_refused_one_keeps_the_refusal) {
+  document_board board;
+  board.Offer(VersionWithDamage(8, damage::kSyntax), true);
+  board.Offer(ValidVersion(7), true);
+  board.Offer(VersionWithDamage(6, damage::kSyntax), true);
+  cr_assert_eq(board.Refusals().size(), 1U);
+  cr_assert_eq(board.Refusals().front().version, 8U);
+  board.Offer(ValidVersion(8), true);
+  cr_assert(board.Refusals().empty());
+}
+
 Test(document_board, with_the_same_documents_has_the_same_hashes) {
   document_board first;
   document_board second;
--- a/src/document/document.h
+++ b/src/document/document.h
@@ -136,14 +136,18 @@
 /// The newest document schema that this release supports.
 inline constexpr std::int64_t kMaxDocumentSchema = 1;
 
-/// Maximum size of a document text in bytes. A document with the routes of a whole mesh needs most
-/// of it.
+/// Maximum size in bytes of a document text that an author submits.
 inline constexpr std::size_t kMaxDocumentBytes = 1U << 20U;
 
-/// Parses and validates a document. Problems are reported together, each with its JSON pointer, or
-/// with line and column where the text is not JSON.
+/// Parses and validates a document that an author submits. Problems are reported together, each
+/// with its JSON pointer, or with line and column where the text is not JSON.
 std::variant<document, json::problems> ParseDocument(std::string_view text);
 
+/// Reads a document that the store has accepted. The limits and checks for authors do not apply,
+/// since a version that is not taken over would leave an older one in force: routes and keys that
+/// it removes would stay valid. Fails only for a text that cannot be interpreted.
+std::variant<document, json::problems> ReadAcceptedDocument(std::string_view text);
+
 /// Whether a name is a valid service name: 1 to 63 lower-case letters, digits and dashes, with no
 /// dash at either end.
 bool IsServiceName(std::string_view name);
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -430,16 +430,29 @@
   return bj::serialize(json::WriteNonDefaults<document>(content, kDocumentFields)) + "\n";
 }
 
+namespace {
+
+/// Reads a document without any check of its meaning. Problems are added to those found.
+document ReadDocument(std::string_view text, problems& found) {
+  document content;
+  auto parsed = json::ParseWithComments(text);
+  if (auto* failed = std::get_if<problems>(&parsed)) {
+    found = std::move(*failed);
+    return content;
+  }
+  json::ReadObject<document>(std::get<bj::value>(parsed), "", kDocumentFields, content, found);
+  return content;
+}
+
+}  // namespace
+
 std::variant<document, json::problems> ParseDocument(std::string_view text) {
   problems found;
   if (text.size() > kMaxDocumentBytes) {
     AddProblem(found, "", "is larger than " + std::to_string(kMaxDocumentBytes) + " bytes");
     return found;
   }
-  auto parsed = json::ParseWithComments(text);
-  if (auto* failed = std::get_if<problems>(&parsed)) return *failed;
-  document content;
-  json::ReadObject<document>(std::get<bj::value>(parsed), "", kDocumentFields, content, found);
+  document content = ReadDocument(text, found);
   if (!content.service.empty() && !IsServiceName(content.service)) {
     AddProblem(found, "/service",
                "must be 1 to 63 lower-case letters, digits and dashes, with no dash at either end");
@@ -450,4 +463,17 @@
   return content;
 }
 
+std::variant<document, json::problems> ReadAcceptedDocument(std::string_view text) {
+  problems found;
+  document content = ReadDocument(text, found);
+  std::erase_if(found, [](const json::problem& each) {
+    return each.kind == json::problem_kind::kOutOfRange;
+  });
+  if (content.schema < 1 || content.schema > kMaxDocumentSchema) {
+    AddProblem(found, "/schema", "is not supported by this release");
+  }
+  if (!found.empty()) return found;
+  return content;
+}
+
 }  // namespace catkinmoor
--- a/src/document/tests/document_test.cc
+++ b/src/document/tests/document_test.cc
@@ -11,6 +11,10 @@
 
 using catkinmoor::document;
 using catkinmoor::ParseDocument;
+using catkinmoor::ReadAcceptedDocument;
+using catkinmoor::route;
+using catkinmoor::SerializeDocument;
+using catkinmoor::workspace;
 using catkinmoor::json::problems;
 
 std::string WithRoutes(const std::string& routes) {
@@ -124,3 +128,73 @@
     }
   }));
 }
+
+namespace {
+
+/// A route that an author may not submit in some ways, as an operator's platform may accept it.
+route ArbitraryRoute(std::size_t number) {
+  route drawn;
+  drawn.name = *rc::gen::element<std::string>("r", "r-" + std::to_string(number));
+  drawn.match.prefix = *rc::gen::element<std::string>("/", "/x/", "x/");
+  drawn.match.hosts = {*rc::gen::element<std::string>("a.example", "b.example")};
+  drawn.repeatable = *rc::gen::arbitrary<bool>();
+  drawn.deadline = std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(0, 1'000'000'000));
+  drawn.priority = *rc::gen::inRange<std::int64_t>(-1, 5'000);
+  drawn.attempts = *rc::gen::inRange<std::int64_t>(0, 20);
+  drawn.queue = *rc::gen::inRange<std::int64_t>(0, 1'000'000);
+  drawn.splits = {{{}, *rc::gen::inRange<std::int64_t>(0, 10'000'000), "shop"}};
+  return drawn;
+}
+
+}  // namespace
+
+// Guards against an accepted configuration that is never in force (config-42).
+Test(document, accepted_with_any_content_is_read_back_equal) {
+  cr_assert(rc::check([] {
+    document content;
+    content.service = *rc::gen::element<std::string>("mesh", "Mesh", "a_b");
+    content.owner = "operator";
+    const auto routes = *rc::gen::inRange<std::size_t>(0, 12);
+    for (std::size_t i = 0; i < routes; ++i) content.routes.push_back(ArbitraryRoute(i));
+    const auto workspaces = *rc::gen::inRange<std::size_t>(0, 4);
+    for (std::size_t i = 0; i < workspaces; ++i) {
+      workspace added;
+      added.name = *rc::gen::element<std::string>("acme", "beta");
+      added.key_digests = {*rc::gen::element<std::string>("k1", "k2")};
+      added.requests_per_second = *rc::gen::element(0.0, 1e12);
+      content.workspaces.push_back(added);
+    }
+    const auto read = ReadAcceptedDocument(SerializeDocument(content));
+    RC_ASSERT(std::holds_alternative<document>(read));
+    RC_ASSERT(std::get<document>(read) == content);
+  }));
+}
+
+Test(document, accepted_with_more_routes_and_bytes_than_an_author_may_submit_is_read_whole) {
+  constexpr std::size_t kRoutes = 20'000;
+  document content;
+  content.service = "mesh";
+  content.owner = "operator";
+  for (std::size_t i = 0; i < kRoutes; ++i) {
+    route added;
+    added.name = "r-" + std::to_string(i);
+    added.match.prefix = "/" + added.name + "/";
+    content.routes.push_back(added);
+  }
+  const std::string text = SerializeDocument(content);
+  cr_assert_gt(text.size(), catkinmoor::kMaxDocumentBytes);
+  const auto read = ReadAcceptedDocument(text);
+  cr_assert(std::holds_alternative<document>(read));
+  cr_assert_eq(std::get<document>(read).routes.size(), kRoutes);
+  cr_assert(std::holds_alternative<problems>(ParseDocument(text)));
+}
+
+Test(document, accepted_that_cannot_be_interpreted_is_refused) {
+  for (const char* text :
+       {"", "{", "[]", R"({"schema": 1})", R"({"schema": 1, "service": 1, "owner": "a", "routes": []})",
+        R"({"schema": 2, "service": "a", "owner": "a", "routes": []})",
+        R"({"schema": 1, "service": "a", "owner": "a", "routes": [{}]})",
+        R"({"schema": 1, "service": "a", "owner": "a", "routes": [], "more": 1})"}) {
+    cr_assert(std::holds_alternative<problems>(ReadAcceptedDocument(text)), "%s", text);
+  }
+}
--- a/src/framework/json/field_table.h
+++ b/src/framework/json/field_table.h
@@ -102,7 +102,8 @@
 }  // namespace internal
 
 /// Fills an aggregate from a JSON object. Unknown keys, wrong types, values out of range and
-/// missing required keys are all reported; members whose key is absent keep their defaults.
+/// missing required keys are all reported; members whose key is absent keep their defaults. A value
+/// out of range is stored as well, for callers to which the ranges do not apply.
 template <typename T>
 void ReadObject(const bj::value& from, const std::string& pointer,
                 std::type_identity_t<std::span<const field<T>>> table, T& to, problems& found) {
--- a/src/framework/json/internal/field_table.cc
+++ b/src/framework/json/internal/field_table.cc
@@ -9,16 +9,15 @@
 
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
-bool CheckRange(double number, range bounds, const std::string& pointer, problems& found) {
-  if (number >= bounds.min && number <= bounds.max) return true;
+void CheckRange(double number, range bounds, const std::string& pointer, problems& found) {
+  if (number >= bounds.min && number <= bounds.max) return;
   std::ostringstream message;
   message << "must be ";
   if (std::isfinite(bounds.min)) message << "at least " << bounds.min;
   if (std::isfinite(bounds.min) && std::isfinite(bounds.max)) message << " and ";
   if (std::isfinite(bounds.max)) message << "at most " << bounds.max;
   message << ", not " << number;
-  AddProblem(found, pointer, message.str());
-  return false;
+  AddProblem(found, pointer, message.str(), problem_kind::kOutOfRange);
 }
 
 }  // namespace
@@ -32,8 +31,7 @@
   }
   // For a string, the minimum of the range applies to its length; without one it may be empty.
   if (std::isfinite(bounds.min) && static_cast<double>(text->size()) < bounds.min) {
-    AddProblem(found, pointer, "must not be empty");
-    return;
+    AddProblem(found, pointer, "must not be empty", problem_kind::kOutOfRange);
   }
   to.assign(text->data(), text->size());
 }
@@ -55,7 +53,8 @@
     AddProblem(found, pointer, "must be an integer");
     return;
   }
-  if (CheckRange(static_cast<double>(number), bounds, pointer, found)) to = number;
+  CheckRange(static_cast<double>(number), bounds, pointer, found);
+  to = number;
 }
 
 void ReadValue(const bj::value& from, const std::string& pointer, range bounds, double& to,
@@ -66,7 +65,8 @@
     AddProblem(found, pointer, "must be a number");
     return;
   }
-  if (CheckRange(number, bounds, pointer, found)) to = number;
+  CheckRange(number, bounds, pointer, found);
+  to = number;
 }
 
 void ReadValue(const bj::value& from, const std::string& pointer, range bounds,
--- a/src/framework/json/internal/reader.cc
+++ b/src/framework/json/internal/reader.cc
@@ -127,8 +127,8 @@
   return text.str();
 }
 
-void AddProblem(problems& found, std::string pointer, std::string message) {
-  found.push_back({std::move(pointer), std::move(message)});
+void AddProblem(problems& found, std::string pointer, std::string message, problem_kind kind) {
+  found.push_back({std::move(pointer), std::move(message), kind});
 }
 
 std::string ChildPointer(const std::string& parent, std::string_view key) {
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int kCompressionLevel = 3;
+/// Bounds the memory that the size stated in a damaged frame can claim. Larger than any text that
+/// the client of the store reads.
+constexpr std::size_t kMaxTextBytes = 64U << 20U;
 
 std::string Compress(const std::string& text) {
   std::string frame(ZSTD_compressBound(text.size()), '\0');
@@ -51,7 +54,7 @@
   const auto size = ZSTD_getFrameContentSize(frame.data(), frame.size());
   // zstd reports unknown and malformed sizes as the two largest values, so this comparison rejects
   // them too.
-  if (size > kMaxDocumentBytes) return std::nullopt;
+  if (size > kMaxTextBytes) return std::nullopt;
   std::string text(size, '\0');
   const std::size_t decompressed_size =
       ZSTD_decompress(text.data(), text.size(), frame.data(), frame.size());
@@ -217,10 +220,10 @@
 template <typename WireList>
 void DocumentsFromWire(const WireList& from, std::vector<document_version>& to) {
   for (const wire::Document& each : from) {
+    // Without its text a version is refused, and the sender learns that it is not held.
     auto text = Decompress(each.text());
-    if (!text) continue;
     to.push_back({each.service(), each.version(), each.change(), BytesToHex(each.digest()),
-                  std::move(*text), each.era()});
+                  text ? std::move(*text) : std::string(), each.era()});
   }
 }
 
--- a/src/routing/internal/target_selector.cc
+++ b/src/routing/internal/target_selector.cc
@@ -266,8 +266,12 @@
   if (chosen_route.splits.empty()) return {{}, 1, content.service};
   std::vector<double> weights;
   for (const route_split& each : chosen_route.splits) {
-    weights.push_back(static_cast<double>(each.weight));
+    weights.push_back(static_cast<double>(std::max<std::int64_t>(0, each.weight)));
   }
+  // An accepted document may have weights that are all 0; then the shares are equal.
+  const bool has_weight =
+      std::any_of(weights.begin(), weights.end(), [](double each) { return each > 0; });
+  if (!has_weight) std::fill(weights.begin(), weights.end(), 1);
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
   route_split drawn = chosen_route.splits[draw(random)];
   if (drawn.service.empty()) drawn.service = content.service;
--- a/src/routing/tests/routing_test.cc
+++ b/src/routing/tests/routing_test.cc
@@ -23,6 +23,7 @@
 using catkinmoor::member_state;
 using catkinmoor::milliseconds;
 using catkinmoor::next_step;
+using catkinmoor::PickSplit;
 using catkinmoor::PickTarget;
 using catkinmoor::retry_budget;
 using catkinmoor::retry_budget_settings;
@@ -503,3 +504,14 @@
     RC_ASSERT(retries <= settings.ratio * first_attempts + settings.min_per_second * (seconds + 1));
   }));
 }
+
+Test(split, without_any_weight_is_drawn_with_equal_shares) {
+  document content = SlotboardDocument();
+  content.routes.front().splits = {{{}, 0, "old"}, {{}, 0, "new"}};
+  std::mt19937_64 random(1);
+  std::set<std::string> drawn;
+  for (int i = 0; i < 100; ++i) {
+    drawn.insert(PickSplit(content, content.routes.front(), random).service);
+  }
+  cr_assert_eq(drawn.size(), 2U);
+}
--- a/src/store/document_source.h
+++ b/src/store/document_source.h
@@ -11,6 +11,17 @@
 
 namespace catkinmoor {
 
+/// Something that the source has accepted and that could not be read. It is newer than what was
+/// read of the same kind before, so the state held is known to be out of date.
+struct unusable_entry {
+  /// Name of the document, or of the row if it holds no document.
+  std::string name;
+  bool is_document = true;
+  std::string reason;
+
+  friend bool operator==(const unusable_entry&, const unusable_entry&) = default;
+};
+
 /// The documents that a source returned beyond a position, and the position that it has reached
 /// with them. Positions only increase, unless the source has restarted.
 struct source_update {
@@ -21,6 +32,7 @@
   bool restarted = false;
   /// The newest order of each rollout that the source returned.
   std::vector<rollout_order> orders = {};
+  std::vector<unusable_entry> unusable = {};
 
   friend bool operator==(const source_update&, const source_update&) = default;
 };
--- a/src/store/internal/document_repository.cc
+++ b/src/store/internal/document_repository.cc
@@ -6,6 +6,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <cstdio>
 
 #include "framework/base/clock.h"
@@ -60,6 +61,16 @@
   }
 }
 
+/// Parses the number of the last change, 0 if there is no row yet.
+result<std::uint64_t> ParseHead(const std::optional<table_row>& row) {
+  if (!row) return std::uint64_t{0};
+  std::uint64_t number = 0;
+  const char* end = row->value.data() + row->value.size();
+  const auto parsed = std::from_chars(row->value.data(), end, number);
+  if (parsed.ec == std::errc() && parsed.ptr == end) return number;
+  return error{error_kind::kRefused, "parse head row", "table", "not a number: " + row->value};
+}
+
 /// Contents and revisions of the rows that a put reads before its transaction.
 struct put_view {
   std::uint64_t head_revision = 0;
@@ -71,10 +82,10 @@
 result<put_view> MakeView(const std::optional<table_row>& head,
                           const std::optional<table_row>& row) {
   put_view view;
-  if (head) {
-    view.head_revision = head->revision;
-    view.last_change = std::strtoull(head->value.c_str(), nullptr, 10);
-  }
+  const auto last_change = ParseHead(head);
+  if (!Ok(last_change)) return Failure(last_change);
+  view.last_change = Value(last_change);
+  if (head) view.head_revision = head->revision;
   if (row) {
     auto parsed = ParseChange(row->value);
     if (!Ok(parsed)) return Failure(parsed);
@@ -188,8 +199,7 @@
 asio::awaitable<result<std::uint64_t>> document_repository::LastChangeNumber() {
   auto head = co_await platform_.Read(kHeadKey);
   if (!Ok(head)) co_return Failure(head);
-  const auto& row = Value(head);
-  co_return row ? std::strtoull(row->value.c_str(), nullptr, 10) : 0ULL;
+  co_return ParseHead(Value(head));
 }
 
 asio::awaitable<result<std::vector<document_change>>> document_repository::ChangesAfter(
--- a/src/store/internal/repository_source.cc
+++ b/src/store/internal/repository_source.cc
@@ -1,5 +1,6 @@
 #include "store/repository_source.h"
 
+#include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 
@@ -11,20 +12,36 @@
                                                                       milliseconds /*wait*/) {
   auto last = co_await repository_.LastChangeNumber();
   if (!Ok(last)) co_return Failure(last);
-  // A stale read returns a smaller number, which must not move the position back.
-  if (Value(last) <= position) co_return source_update{position, {}};
+  if (Value(last) < position) {
+    // A stale read shows nothing about the present, and must not move the position back.
+    co_return error{error_kind::kUnavailable, "read changes", "table",
+                    "the last change is older than one read before"};
+  }
+  if (Value(last) == position) co_return source_update{position, {}};
   const bool full_read = position == 0;
-  result<std::vector<document_change>> changes;
-  if (full_read) {
-    changes = co_await repository_.CurrentVersions();
-  } else {
-    changes = co_await repository_.ChangesAfter(position);
+  std::vector<document_change> changes;
+  std::uint64_t latest = position;
+  while (latest < Value(last)) {
+    result<std::vector<document_change>> next;
+    if (full_read) {
+      next = co_await repository_.CurrentVersions();
+    } else {
+      next = co_await repository_.ChangesAfter(latest);
+    }
+    if (!Ok(next)) co_return Failure(next);
+    const std::uint64_t before = latest;
+    for (document_change& each : Value(next)) {
+      latest = std::max(latest, each.change);
+      changes.push_back(std::move(each));
+    }
+    const bool is_complete = latest >= Value(last);
+    if (!is_complete && (full_read || latest == before)) {
+      co_return error{error_kind::kUnavailable, "read changes", "table",
+                      "the changes end at " + std::to_string(latest) + " of " +
+                          std::to_string(Value(last))};
+    }
   }
-  if (!Ok(changes)) co_return Failure(changes);
-  if (Value(changes).empty()) co_return source_update{position, {}};
-  std::uint64_t latest = full_read ? Value(last) : position;
-  for (const document_change& each : Value(changes)) latest = std::max(latest, each.change);
-  auto loaded = co_await LoadVersions(std::move(Value(changes)));
+  auto loaded = co_await LoadVersions(std::move(changes));
   if (!Ok(loaded)) co_return Failure(loaded);
   co_return source_update{latest, std::move(Value(loaded))};
 }
--- a/src/store/tests/document_repository_test.cc
+++ b/src/store/tests/document_repository_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "framework/base/test_support.h"
+#include "store/repository_source.h"
 #include "store/stub/memory_platform.h"
 
 #include <criterion/criterion.h>
@@ -20,6 +21,7 @@
 using catkinmoor::error_kind;
 using catkinmoor::memory_platform;
 using catkinmoor::platform_fault;
+using catkinmoor::repository_source;
 using catkinmoor::result;
 using catkinmoor::RunToCompletion;
 
@@ -32,6 +34,11 @@
   return RunToCompletion(repository.Put(edit));
 }
 
+/// Writes a row as a damaged or foreign one.
+void WriteRow(memory_platform& platform, const std::string& key, const std::string& value) {
+  cr_assert(Ok(RunToCompletion(platform.Transact({{key, value, std::nullopt}}))));
+}
+
 }  // namespace
 
 Test(document_repository, with_two_concurrent_edits_accepts_one_and_reports_a_conflict) {
@@ -165,3 +172,47 @@
     }
   }));
 }
+
+// Guards against a damaged row that passes for no change (config-42).
+Test(repository_source, with_a_malformed_number_of_the_last_change_fails) {
+  memory_platform platform;
+  document_repository repository(platform);
+  repository_source source(repository);
+  cr_assert(Ok(Put(repository, MakeEdit(0, "one"))));
+  WriteRow(platform, "head", "x");
+  cr_assert(!Ok(RunToCompletion(source.FetchUpdate(1, {}))));
+}
+
+Test(repository_source, with_a_change_missing_from_the_log_fails) {
+  memory_platform platform;
+  document_repository repository(platform);
+  repository_source source(repository);
+  cr_assert(Ok(Put(repository, MakeEdit(0, "one"))));
+  WriteRow(platform, "head", "2");
+  cr_assert(!Ok(RunToCompletion(source.FetchUpdate(1, {}))));
+  cr_assert(!Ok(RunToCompletion(source.FetchUpdate(0, {}))));
+}
+
+Test(repository_source, with_a_stale_read_fails) {
+  memory_platform platform;
+  document_repository repository(platform);
+  repository_source source(repository);
+  cr_assert(Ok(Put(repository, MakeEdit(0, "one"))));
+  cr_assert(!Ok(RunToCompletion(source.FetchUpdate(2, {}))));
+  cr_assert(Ok(RunToCompletion(source.FetchUpdate(1, {}))));
+}
+
+// One read of the log returns a bounded number of changes.
+Test(repository_source, with_more_changes_than_one_read_returns_reads_all) {
+  constexpr std::uint64_t kChanges = 501;
+  memory_platform platform;
+  document_repository repository(platform);
+  repository_source source(repository);
+  for (std::uint64_t i = 0; i <= kChanges; ++i) {
+    cr_assert(Ok(Put(repository, MakeEdit(i, "change-" + std::to_string(i)))));
+  }
+  const auto update = RunToCompletion(source.FetchUpdate(1, {}));
+  cr_assert(Ok(update));
+  cr_assert_eq(Value(update).position, kChanges + 1);
+  cr_assert_eq(Value(update).documents.front().version, kChanges + 1);
+}
