Let nothing behind the head of a message change the head

What targets saw: a request without a key as one of the workspace that its caller had stated in a trailer field, and both workspaces beside each other where it had a key.

Cause: the parser adds the fields of a trailer to those of the head, and the head was read from it after the body as well. Next to it, Connection could take away fields that a daemon had set or that end the message.

Change: one unit, proxy/internal/wire/message_fields, decides which fields pass a hop, for the entry, the gate and the reader of targets' responses. Bytes behind a head are parsed with its fields set aside. Callers' statements are removed before the daemon sets anything, also where a document has no workspaces. Connection is read in all its fields and cannot remove what frames, describes or identifies a message. The HTTP server and the client for the store take fields from the head only.

--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -94,6 +94,11 @@
     outcome.message = "read: too many interim responses";
     co_return outcome;
   }
+  // Before the body is read, as the parser adds the fields of a trailer to those of the head.
+  for (const auto& each : parser->get()) {
+    outcome.response_message.headers.emplace(std::string(each.name_string()),
+                                             std::string(each.value()));
+  }
   auto [read_failed, count] = co_await bhttp::async_read(stream, buffer, *parser, kAwait);
   outcome.bytes += count;
   if (read_failed) {
@@ -107,10 +112,6 @@
   }
   outcome.reached = progress::kResponseReceived;
   outcome.response_message.status = parser->get().result_int();
-  for (const auto& each : parser->get()) {
-    outcome.response_message.headers.emplace(std::string(each.name_string()),
-                                             std::string(each.value()));
-  }
   // Bytes behind the response belong to no request of this client.
   outcome.keep_alive = parser->keep_alive() && buffer.size() == 0;
   outcome.response_message.body = std::move(parser->get().body());
--- a/src/framework/http/internal/server.cc
+++ b/src/framework/http/internal/server.cc
@@ -23,18 +23,34 @@
 namespace bhttp = boost::beast::http;
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
+/// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
+constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
 
-request FromBeastRequest(bhttp::request<bhttp::string_body> from) {
+request HeadOf(const bhttp::request<bhttp::string_body>& from) {
   request to;
   to.method = std::string(from.method_string());
   to.target = std::string(from.target());
   for (const auto& each : from) {
     to.headers.emplace(std::string(each.name_string()), std::string(each.value()));
   }
-  to.body = std::move(from.body());
   return to;
 }
 
+/// Reads a whole request. The fields of a trailer, which the parser adds to those of the head, are
+/// not part of it.
+asio::awaitable<beast::error_code> ReadRequest(beast::tcp_stream& stream,
+                                               beast::flat_buffer& buffer,
+                                               bhttp::request_parser<bhttp::string_body>& parser,
+                                               request& to) {
+  auto [head_failed, head_bytes] =
+      co_await bhttp::async_read_header(stream, buffer, parser, kAwait);
+  if (head_failed) co_return head_failed;
+  to = HeadOf(parser.get());
+  auto [failed, bytes] = co_await bhttp::async_read(stream, buffer, parser, kAwait);
+  if (!failed) to.body = std::move(parser.get().body());
+  co_return failed;
+}
+
 unsigned ErrorStatus(const beast::error_code& failed) {
   if (failed == bhttp::error::header_limit) return 431;
   if (failed == bhttp::error::body_limit) return 413;
@@ -86,7 +102,8 @@
       parser.header_limit(self->limits.header_bytes);
       parser.body_limit(self->limits.body_bytes);
       stream.expires_after(self->limits.io_timeout);
-      auto [failed, count] = co_await bhttp::async_read(stream, buffer, parser, kAwait);
+      request received;
+      const beast::error_code failed = co_await ReadRequest(stream, buffer, parser, received);
       response response_message;
       bool keep_alive = false;
       unsigned version = 11;
@@ -100,7 +117,7 @@
         version = parser.get().version();
         is_head = parser.get().method() == bhttp::verb::head;
         stream.expires_never();
-        response_message = co_await self->handle_request(FromBeastRequest(parser.release()));
+        response_message = co_await self->handle_request(std::move(received));
       }
       bhttp::response<bhttp::string_body> outgoing(
           static_cast<bhttp::status>(response_message.status), version);
--- a/src/framework/http/tests/client_test.cc
+++ b/src/framework/http/tests/client_test.cc
@@ -215,3 +215,17 @@
     cr_assert(Failure(outcome).kind == error_kind::kUnavailable);
   }
 }
+
+// Guards against fields that a peer adds behind the body, after the head has been acted on.
+Test(client, with_fields_in_a_trailer_does_not_return_them) {
+  asio::io_context context{1};
+  const scripted_peer peer(context,
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+                           "Store-Era: 9\r\n\r\n",
+                           false);
+  client subject;
+  const auto outcome = SendTo(context, subject, peer);
+  cr_assert(Ok(outcome));
+  cr_assert_eq(Value(outcome).body, "hi");
+  cr_assert_eq(Value(outcome).headers.count("Store-Era"), 0U);
+}
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -8,6 +8,7 @@
 #include "proxy/internal/key_admission.h"
 #include "proxy/internal/target_responses.h"
 #include "proxy/internal/version_evidence.h"
+#include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -276,8 +277,7 @@
   const bool uploads = attempt.upload != nullptr && !attempt.upload->IsComplete();
   const bool keep_open = call.keep_alive && !draining_ && parser.is_done() && !uploads;
   response_message& message = response.get();
-  RemoveHopByHop(message);
-  RemoveMeshHeaders(message);
+  RemoveRelayedFields(message, settings_.conventions);
   message.set(kRequestIdHeader, call.request_id);
   message.version(11);
   message.keep_alive(keep_open);
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -11,6 +11,7 @@
 #include "proxy/internal/call_dispatcher.h"
 #include "proxy/internal/key_admission.h"
 #include "proxy/internal/quota_admission.h"
+#include "proxy/internal/wire/message_fields.h"
 #include "routing/route_matcher.h"
 #include "workspace/caller_key.h"
 
@@ -280,6 +281,8 @@
     if (call.request_id.empty() || call.request_id.size() > kMaxRequestIdLength) {
       call.request_id = RandomId();
     }
+    // Before any field is set, so that a caller can neither state nor remove one of the daemon's.
+    RemoveCallerFields(message, settings_.conventions);
     if (message.count(bhttp::field::host) != 1) {
       return NotRunResponse(400, "malformed", "read request",
                             "a request must have exactly one Host header");
@@ -321,9 +324,6 @@
     }
     if (limit.count() <= 0) return NotRunResponse(504, "too-late", "entry", "deadline has passed");
     call.deadline = call.started + limit;
-    RemoveHopByHop(message);
-    RemoveMeshHeaders(message);
-    message.erase(bhttp::field::expect);
     message.set(kRequestIdHeader, call.request_id);
     return std::nullopt;
   }
@@ -335,13 +335,9 @@
     if (conventions.key_header.empty() || call.document->content.workspaces.empty()) {
       return std::nullopt;
     }
-    std::string key;
-    if (message.count(conventions.key_header) == 1) {
-      const auto value = message[conventions.key_header];
-      key = CredentialsOf({value.data(), value.size()}, conventions.key_scheme);
-    }
+    const std::string key(
+        CredentialsOf(SingleValue(message, conventions.key_header), conventions.key_scheme));
     message.erase(conventions.key_header);
-    message.erase(conventions.workspace_header);
     const boot_time_point valid_until = deps_.key_proofs.ValidUntil();
     const parsed_document_ptr held = deps_.documents.Held(call.document->source.service);
     const key_check checked = CheckKey(*call.document, held.get(), *call.matched_route, key);
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -14,6 +14,7 @@
 #include "proxy/internal/key_admission.h"
 #include "proxy/internal/target_responses.h"
 #include "proxy/internal/wire/body_upload.h"
+#include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor {
 
@@ -364,8 +365,7 @@
   void PrepareRequest(request_message& message, const gate_call& call, time_point deadline) const {
     const http_conventions& conventions = settings_.conventions;
     const std::string depth(message[kDepthHeader]);
-    RemoveHopByHop(message);
-    RemoveMeshHeaders(message);
+    RemoveRelayedFields(message, conventions);
     message.erase(bhttp::field::expect);
     const auto time_left = std::chrono::duration_cast<milliseconds>(deadline - Now());
     message.set(conventions.deadline_header,
@@ -601,8 +601,7 @@
                        bool keep_open) const {
     response_message& message = parser.get();
     const bool lacks_length = parser.need_eof();
-    RemoveHopByHop(message);
-    RemoveMeshHeaders(message);
+    RemoveRelayedFields(message, settings_.conventions);
     if (lacks_length) message.chunked(true);
     message.set(kOutcomeHeader, kOutcomeRan);
     reported_load load = slots_->Load(route);
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -12,6 +11,7 @@
 
 #include "framework/http/response_head.h"
 #include "proxy/internal/call_headers.h"
+#include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -67,11 +67,6 @@
   return text;
 }
 
-bool StartsWith(beast::string_view text, std::string_view prefix) {
-  return text.size() >= prefix.size() &&
-         beast::iequals(text.substr(0, prefix.size()), {prefix.data(), prefix.size()});
-}
-
 /// State of a socket, found without reading from it.
 enum class socket_state { kNoData, kDataPending, kClosed };
 
@@ -177,7 +172,7 @@
     if (from.buffer.size() > 0) {
       const bool prepared = co_await prepare(from.buffer.size());
       if (!prepared) co_return asio::error::operation_aborted;
-      from.buffer.consume(parser.put(from.buffer.data(), failed));
+      from.buffer.consume(ParseBytes(parser, from.buffer.data(), failed));
       if (failed != bhttp::error::need_more) co_return failed;
     }
     failed = co_await FillBuffer(from, max_read_bytes, timeout);
@@ -322,30 +317,6 @@
   return response;
 }
 
-void RemoveHopByHop(bhttp::fields& fields) {
-  std::vector<std::string> listed;
-  for (const auto& token : bhttp::token_list(fields[bhttp::field::connection])) {
-    listed.emplace_back(token);
-  }
-  for (const std::string& name : listed) fields.erase(name);
-  for (const auto name :
-       {bhttp::field::connection, bhttp::field::keep_alive, bhttp::field::proxy_authenticate,
-        bhttp::field::proxy_authorization, bhttp::field::proxy_connection, bhttp::field::te,
-        bhttp::field::upgrade}) {
-    fields.erase(name);
-  }
-}
-
-void RemoveMeshHeaders(bhttp::fields& fields) {
-  for (auto next = fields.begin(); next != fields.end();) {
-    if (StartsWith(next->name_string(), kHeaderPrefix)) {
-      next = fields.erase(next);
-    } else {
-      ++next;
-    }
-  }
-}
-
 asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
                                                const proxy_settings& settings, bool behind_others) {
   parser.header_limit(static_cast<std::uint32_t>(settings.max_header_bytes));
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -75,12 +75,6 @@
   std::string load;
 };
 
-/// Removes hop-by-hop fields, including those listed in Connection.
-void RemoveHopByHop(bhttp::fields& fields);
-
-/// Removes the x-catkinmoor- fields, which daemons exchange among themselves.
-void RemoveMeshHeaders(bhttp::fields& fields);
-
 /// Reads a request's header into the parser. For a malformed or late header, the result holds the
 /// response to send; kDisconnected means that the peer closed the connection or stayed idle.
 enum class read_outcome { kRequest, kMalformed, kDisconnected };
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -1,6 +1,7 @@
 #include "proxy/internal/target_responses.h"
 
 #include "framework/logging/log.h"
+#include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -26,12 +27,12 @@
     if (head.failed) co_return head;
     if (parser->get().result_int() < 200) continue;
     if (!context.settings.conventions.targets_echo_request_ids) co_return head;
-    const auto id = parser->get()[kRequestIdHeader];
+    const std::string_view id = SingleValue(parser->get(), kRequestIdHeader);
     if (id == call.request_id) co_return head;
     context.metrics.IncrementCounter("catkinmoor_gate_crossed_answers_total");
     logging::Warning("target response belongs to another request; discarded",
                      {{"request", call.request_id},
-                      {"answers", std::string_view(id.data(), id.size())},
+                      {"answers", id},
                       {"instance", call.instance}});
     head.failed = bhttp::error::bad_value;
     head.problem = "the response belongs to another request";
