Bound what bytes without end can hold

Cause: the client for the store read bodies of up to 16 MB, as many at a time as there were calls; the HTTP server for targets and operators had no bound for chunk extensions and trailers; a gate waited for the end of a response that it does not pass on before it told what the response says.

Change: limits for one body and for all that are read at a time, from memory_mb; 256 KB of unparsed bytes at the server; a refusal is passed on at its head, and the rest is read for 250 ms at most.

--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -526,7 +526,7 @@
   distribution_dependencies deps_{documents_,  members_, self_,       freshness_,
                                   quarantine_, metrics_, key_proofs_, &era_};
   std::unique_ptr<spread_strategy> strategy_;
-  http::client http_client_{translation_};
+  http::client http_client_{translation_, http::ClientLimitsOfProcess(settings_.memory_mb)};
   std::unique_ptr<platform_client> platform_;
   document_repository repository_;
   std::unique_ptr<document_source> document_source_;
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -19,10 +19,11 @@
 /// if the source supports it. After a failure the next poll is delayed longer, with jitter, so that
 /// a platform that recovers is not overloaded by all daemons at once.
 ///
-/// A version that the source has accepted and that this daemon cannot take over leaves its documents
-/// out of date. Until the version or a newer one is taken over, the position stays in front of it,
-/// the documents are neither confirmed to others nor taken for a proof about keys, and the version
-/// is read again from time to time. Polls go on behind it, so that a newer one is not delayed.
+/// A version that the source has accepted and that this daemon cannot take over leaves its
+/// documents out of date. Until the version or a newer one is taken over, the position stays in
+/// front of it, the documents are neither confirmed to others nor taken for a proof about keys, and
+/// the version is read again from time to time. Polls go on behind it, so that a newer one is not
+/// delayed.
 class source_controller {
  public:
   source_controller(boost::asio::io_context& context, distribution_dependencies deps,
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -128,8 +128,7 @@
 // Guards against an accepted configuration of many routes that is never in force (config-42).
 Test(document_board, offered_more_routes_than_an_author_may_submit_puts_them_in_force) {
   constexpr int kRoutes = 5'000;
-  std::string text =
-      R"({"schema": 1, "service": "slotboard", "owner": "fitting", "routes": [)";
+  std::string text = R"({"schema": 1, "service": "slotboard", "owner": "fitting", "routes": [)";
   for (int i = 0; i < kRoutes; ++i) {
     const std::string number = std::to_string(i);
     text += (i == 0 ? "" : ",") + (R"({"name": "r)" + number + R"(", "match": {"prefix": "/)") +
--- a/src/distribution/tests/source_controller_test.cc
+++ b/src/distribution/tests/source_controller_test.cc
@@ -34,11 +34,10 @@
 constexpr const char* kOrderEntry = "rollout/shop";
 
 document_version Version(std::uint64_t version, bool readable = true) {
-  const std::string text = readable
-                               ? R"({"schema": 1, "service": "mesh", "owner": "operator",
+  const std::string text = readable ? R"({"schema": 1, "service": "mesh", "owner": "operator",
                                      "routes": [], "workspaces": [{"name": ")" +
-                                     std::to_string(version) + R"("}]})"
-                               : R"({"schema": 2})";
+                                          std::to_string(version) + R"("}]})"
+                                    : R"({"schema": 2})";
   return {kService, version, version, Sha256Hex(text), text};
 }
 
@@ -141,8 +140,8 @@
   node reader{context, platform, peers, RecordOf("vm-1", 1), settings};
   node other{context, platform, peers, RecordOf("vm-2", 2), settings};
   single_row_source source;
-  source_controller controller{context, reader.deps, source, reader.exchange, *reader.strategy,
-                               settings, 1};
+  source_controller controller{context,          reader.deps, source, reader.exchange,
+                               *reader.strategy, settings,    1};
 };
 
 }  // namespace
@@ -162,8 +161,7 @@
   cr_assert_eq(subject.reader.documents.Refusals().size(), 1U);
 }
 
-Test(source_controller, with_a_newer_version_after_a_refused_one_is_current_again,
-     .timeout = 60) {
+Test(source_controller, with_a_newer_version_after_a_refused_one_is_current_again, .timeout = 60) {
   reading_pair subject;
   subject.source.document = Version(7);
   subject.source.document_position = 4;
--- a/src/document/tests/document_test.cc
+++ b/src/document/tests/document_test.cc
@@ -191,7 +191,8 @@
 
 Test(document, accepted_that_cannot_be_interpreted_is_refused) {
   for (const char* text :
-       {"", "{", "[]", R"({"schema": 1})", R"({"schema": 1, "service": 1, "owner": "a", "routes": []})",
+       {"", "{", "[]", R"({"schema": 1})",
+        R"({"schema": 1, "service": 1, "owner": "a", "routes": []})",
         R"({"schema": 2, "service": "a", "owner": "a", "routes": []})",
         R"({"schema": 1, "service": "a", "owner": "a", "routes": [{}]})",
         R"({"schema": 1, "service": "a", "owner": "a", "routes": [], "more": 1})"}) {
--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -26,7 +28,12 @@
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdlePerPeer = 4;
 constexpr std::size_t kMaxResponseHeadBytes = 8U << 10U;
-constexpr std::uint64_t kMaxResponseBodyBytes = 16U << 20U;
+/// Share of a process's memory that the bodies of responses may take up while they are read. What
+/// is made of a body, a configuration above all, takes many times its size.
+constexpr std::uint64_t kMemoryDivisor = 32;
+/// Bytes of a body that are read at a time, and the room that is made for them.
+constexpr std::size_t kBodyReadBytes = 8U << 10U;
+constexpr std::size_t kBodyStepBytes = 16U << 10U;
 /// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
 constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
 
@@ -51,6 +58,95 @@
   std::uint64_t bytes = 0;
 };
 
+/// The bytes that the bodies being read hold together.
+class body_budget {
+ public:
+  explicit body_budget(std::uint64_t limit) : limit_(limit) {}
+
+  bool TryTake(std::uint64_t bytes) {
+    if (held_.fetch_add(bytes) + bytes <= limit_) return true;
+    held_ -= bytes;
+    return false;
+  }
+  void Return(std::uint64_t bytes) { held_ -= bytes; }
+
+ private:
+  const std::uint64_t limit_;
+  std::atomic<std::uint64_t> held_ = 0;
+};
+
+/// What one body holds of the budget during its lifetime. Its first bytes are not charged, so that
+/// short responses arrive while long ones use up the budget.
+class body_share {
+ public:
+  explicit body_share(body_budget& budget) : budget_(budget) {}
+  ~body_share() { budget_.Return(held_); }
+  body_share(const body_share&) = delete;
+  body_share& operator=(const body_share&) = delete;
+
+  bool TryGrowTo(std::uint64_t bytes) {
+    if (bytes <= kBodyStepBytes + held_) return true;
+    const std::uint64_t charged = bytes - kBodyStepBytes;
+    if (!budget_.TryTake(charged - held_)) return false;
+    held_ = charged;
+    return true;
+  }
+
+ private:
+  body_budget& budget_;
+  std::uint64_t held_ = 0;
+};
+
+/// Makes room for the next bytes of a body, if the budget has as much. What is drawn grows with the
+/// bytes that have arrived, not with the length that a head states.
+bool MakeRoom(bhttp::response_parser<bhttp::string_body>& parser, body_share& share) {
+  std::string& body = parser.get().body();
+  const auto left = parser.content_length_remaining();
+  const std::size_t step =
+      left ? static_cast<std::size_t>(std::min<std::uint64_t>(*left, kBodyStepBytes))
+           : kBodyStepBytes;
+  const std::size_t needed = body.size() + step;
+  if (needed <= body.capacity()) return share.TryGrowTo(needed);
+  const std::size_t capacity = std::max(needed, body.size() + body.size() / 4);
+  // Both are held while the bytes are copied.
+  if (!share.TryGrowTo(capacity + body.size())) return false;
+  // std::string::reserve at least doubles the capacity of a string that has one.
+  std::string enlarged;
+  enlarged.reserve(capacity);
+  enlarged.append(body);
+  body.swap(enlarged);
+  return true;
+}
+
+/// Reads the rest of a response whose head has been parsed.
+asio::awaitable<beast::error_code> ReadBody(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                            bhttp::response_parser<bhttp::string_body>& parser,
+                                            body_budget& budget, std::uint64_t& bytes) {
+  body_share share(budget);
+  parser.eager(true);
+  while (!parser.is_done()) {
+    beast::error_code failed = bhttp::error::need_more;
+    if (!MakeRoom(parser, share)) co_return bhttp::error::body_limit;
+    if (buffer.size() > 0) {
+      failed = {};
+      buffer.consume(parser.put(buffer.data(), failed));
+      if (failed && failed != bhttp::error::need_more) co_return failed;
+    }
+    if (parser.is_done() || !failed) continue;
+    const std::size_t room = std::min(kBodyReadBytes, buffer.max_size() - buffer.size());
+    if (room == 0) co_return bhttp::error::buffer_overflow;
+    auto [read_failed, count] = co_await stream.async_read_some(buffer.prepare(room), kAwait);
+    bytes += count;
+    buffer.commit(count);
+    if (read_failed && read_failed != asio::error::eof) co_return read_failed;
+    if (!read_failed) continue;
+    failed = {};
+    parser.put_eof(failed);
+    co_return failed;
+  }
+  co_return beast::error_code{};
+}
+
 bhttp::request<bhttp::string_body> ToBeastRequest(const endpoint& peer, const request& from) {
   bhttp::request<bhttp::string_body> to;
   to.method_string(from.method);
@@ -64,7 +160,8 @@
 }
 
 asio::awaitable<attempt> SendOnce(beast::tcp_stream& stream, const endpoint& peer,
-                                  const request& message) {
+                                  const request& message, std::uint64_t max_body_bytes,
+                                  body_budget& budget) {
   attempt outcome;
   auto outgoing = ToBeastRequest(peer, message);
   auto [write_failed, written] = co_await bhttp::async_write(stream, outgoing, kAwait);
@@ -79,7 +176,7 @@
   std::optional<bhttp::response_parser<bhttp::string_body>> parser;
   for (int interim = 0;; ++interim) {
     parser.emplace();
-    parser->body_limit(kMaxResponseBodyBytes);
+    parser->body_limit(max_body_bytes);
     if (message.method == "HEAD") parser->skip(true);
     const head_result head =
         co_await ReadResponseHead(stream, buffer, *parser, kMaxResponseHeadBytes);
@@ -99,8 +196,8 @@
     outcome.response_message.headers.emplace(std::string(each.name_string()),
                                              std::string(each.value()));
   }
-  auto [read_failed, count] = co_await bhttp::async_read(stream, buffer, *parser, kAwait);
-  outcome.bytes += count;
+  const beast::error_code read_failed =
+      co_await ReadBody(stream, buffer, *parser, budget, outcome.bytes);
   if (read_failed) {
     outcome.timed_out = read_failed == beast::error::timeout;
     outcome.message = "read: " + read_failed.message();
@@ -121,9 +218,14 @@
 }  // namespace
 
 struct client::state {
+  state(address_translation rules, client_limits body_limits)
+      : translation(std::move(rules)), limits(body_limits) {}
+
   sharded_map<std::string, std::vector<stream_ptr>> idle;
   std::atomic<std::uint64_t> bytes_transferred = 0;
   address_translation translation;
+  client_limits limits;
+  body_budget budget{limits.total_bytes};
 
   stream_ptr TakeIdle(const std::string& peer) {
     return idle.WithShard(peer, [&](auto& entries) -> stream_ptr {
@@ -152,9 +254,16 @@
   }
 };
 
-client::client(address_translation translation) : state_(std::make_shared<state>()) {
-  state_->translation = std::move(translation);
+client_limits ClientLimitsOfProcess(std::int64_t memory_mb) {
+  client_limits limits;
+  if (memory_mb <= 0) return limits;
+  limits.total_bytes = (static_cast<std::uint64_t>(memory_mb) << 20U) / kMemoryDivisor;
+  limits.body_bytes = std::min(limits.body_bytes, limits.total_bytes);
+  return limits;
 }
+
+client::client(address_translation translation, client_limits limits)
+    : state_(std::make_shared<state>(std::move(translation), limits)) {}
 client::~client() = default;
 
 std::uint64_t client::BytesTransferred() const { return state_->bytes_transferred; }
@@ -187,7 +296,8 @@
       beast::error_code ignored;
       stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
-    attempt outcome = co_await SendOnce(*stream, peer, message);
+    attempt outcome =
+        co_await SendOnce(*stream, peer, message, shared->limits.body_bytes, shared->budget);
     shared->bytes_transferred += outcome.bytes;
     if (outcome.reached == progress::kResponseReceived) {
       if (outcome.keep_alive) shared->PutIdle(peer_name, std::move(stream));
--- a/src/framework/http/internal/server.cc
+++ b/src/framework/http/internal/server.cc
@@ -94,7 +94,7 @@
 
   static asio::awaitable<void> ServeConnection(std::shared_ptr<state> self,
                                                beast::tcp_stream stream) {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     beast::error_code ignored;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     while (!self->stopping) {
--- a/src/framework/http/tests/client_test.cc
+++ b/src/framework/http/tests/client_test.cc
@@ -1,5 +1,7 @@
 #include "framework/http/client.h"
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +11,10 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <fstream>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -216,6 +221,112 @@
   }
 }
 
+namespace {
+
+/// A peer that sends bytes without end after the head of a response, until its caller closes.
+class endless_peer {
+ public:
+  endless_peer(asio::io_context& context, std::string head, std::string repeated)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        head_(std::move(head)),
+        repeated_(std::move(repeated)) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+
+  endpoint Address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+  /// Connections on which a caller still takes bytes.
+  int Open() const { return open_; }
+
+ private:
+  asio::awaitable<void> Accept() {
+    for (;;) {
+      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    ++open_;
+    asio::streambuf received;
+    boost::system::error_code failed;
+    co_await asio::async_read_until(socket, received, "\r\n\r\n",
+                                    asio::redirect_error(asio::use_awaitable, failed));
+    if (!failed) {
+      co_await asio::async_write(socket, asio::buffer(head_),
+                                 asio::redirect_error(asio::use_awaitable, failed));
+    }
+    while (!failed) {
+      co_await asio::async_write(socket, asio::buffer(repeated_),
+                                 asio::redirect_error(asio::use_awaitable, failed));
+    }
+    --open_;
+  }
+
+  tcp::acceptor acceptor_;
+  std::string head_;
+  std::string repeated_;
+  int open_ = 0;
+};
+
+/// Memory of this process in bytes.
+std::size_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<std::size_t>(::getpagesize());
+}
+
+}  // namespace
+
+// Pattern: a store in trouble sends bytes that are no answer, in a head or a body, until its caller
+// closes. The process must not run out of memory, and calls to others must be answered.
+Test(client, of_responses_without_end_holds_bounded_memory_and_serves_other_calls, .timeout = 120) {
+  constexpr catkinmoor::http::client_limits kLimits{1U << 20U, 2U << 20U};
+  constexpr std::size_t kCalls = 24;
+  // The bodies, and 0.3 MB for each connection's unparsed bytes and fields.
+  constexpr std::size_t kMaxGrowth = (2U << 20U) + kCalls * (300U << 10U) + (4U << 20U);
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string kilobyte(1'024, 'x');
+  const std::vector<std::pair<std::string, std::string>> answers = {
+      {"", kilobyte},
+      {ok + "X-Long: ", kilobyte},
+      {ok, "X-More: " + kilobyte + "\r\n"},
+      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {ok + "\r\n", kilobyte},
+      {ok + "Content-Length: 1000000000000\r\n\r\n", kilobyte},
+      {ok + "Content-Length: 1000000\r\n\r\n", kilobyte},
+      {chunked, "400\r\n" + kilobyte + "\r\n"},
+      {chunked + "5;", kilobyte},
+      {chunked + "5\r\nhello\r\n0\r\n", "X-More: " + kilobyte + "\r\n"},
+      {chunked + "5\r\nhello\r\n0\r\n", "A:\r\n"}};
+  for (const auto& [head, repeated] : answers) {
+    asio::io_context context{1};
+    const endless_peer endless(context, head, repeated);
+    const scripted_peer sound(context, ok + "Content-Length: 2\r\n\r\nhi", false);
+    client subject({}, kLimits);
+    const std::size_t before = ResidentBytes();
+    std::size_t most = before;
+    std::size_t ended = 0;
+    for (std::size_t i = 0; i < kCalls; ++i) {
+      asio::co_spawn(context,
+                     subject.Send(endless.Address(), request{"GET", "/", {}, ""}, kLongTimeout),
+                     [&](const std::exception_ptr&, const result<response>&) { ++ended; });
+    }
+    for (int i = 0; i < 3; ++i) {
+      cr_assert(Ok(SendTo(context, subject, sound)), "%s%s", head.c_str(), repeated.c_str());
+    }
+    while (ended < kCalls || endless.Open() > 0) {
+      context.run_one();
+      most = std::max(most, ResidentBytes());
+    }
+    cr_assert(most - before <= kMaxGrowth, "%s%s: %zu bytes", head.c_str(),
+              repeated.substr(0, 20).c_str(), most - before);
+  }
+}
+
 // Guards against fields that a peer adds behind the body, after the head has been acted on.
 Test(client, with_fields_in_a_trailer_does_not_return_them) {
   asio::io_context context{1};
--- a/src/framework/http/tests/server_test.cc
+++ b/src/framework/http/tests/server_test.cc
@@ -67,3 +67,20 @@
   asio::read(caller, asio::dynamic_buffer(answer), ended);
   cr_assert(answer.ends_with("<>"), "%s", answer.c_str());
 }
+
+// Pattern: a peer sends a chunk extension or a trailer without end.
+Test(server, of_a_request_without_end_closes_the_connection, .timeout = 60) {
+  constexpr std::size_t kMaxSent = 64U << 20U;
+  const endpoint address{"127.163.0.2", 9101};
+  const server_fixture subject(address);
+  for (const char* begin : {"1;", "0\r\nX-Own: "}) {
+    asio::io_context context;
+    tcp::socket caller = ConnectTo(context, address);
+    asio::write(caller, asio::buffer(std::string(kChunkedHead) + begin));
+    const std::string block(64U << 10U, 'x');
+    boost::system::error_code failed;
+    std::size_t sent = 0;
+    while (!failed && sent < kMaxSent) sent += asio::write(caller, asio::buffer(block), failed);
+    cr_assert(failed, "%s: %zu bytes taken", begin, sent);
+  }
+}
--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -106,7 +106,9 @@
     const response scripted = script_(head);
     std::this_thread::sleep_for(std::chrono::milliseconds(scripted.delay_ms));
     ::send(connection, scripted.bytes.data(), scripted.bytes.size(), MSG_NOSIGNAL);
-    if (!scripted.repeated.empty()) SendEndlessly(connection, scripted.repeated);
+    if (!scripted.repeated.empty()) {
+      SendEndlessly(connection, scripted.repeated, scripted.repeat_pause_ms);
+    }
     open = scripted.keep_alive && scripted.repeated.empty();
     if (scripted.body_bytes > 0) {
       const auto following = ReadBody(connection, head, scripted.body_bytes);
@@ -126,12 +128,13 @@
   ::close(connection);
 }
 
-void scripted_target::SendEndlessly(int connection, const std::string& repeated) {
+void scripted_target::SendEndlessly(int connection, const std::string& repeated, int pause_ms) {
   const timeval send_timeout{0, 50'000};
   ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof(send_timeout));
   while (!stopping_) {
     const auto sent = ::send(connection, repeated.data(), repeated.size(), MSG_NOSIGNAL);
     const bool blocked = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    std::this_thread::sleep_for(std::chrono::milliseconds(pause_ms));
     if (sent >= 0 || blocked) continue;
     ++endless_closed_;
     return;
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -20,6 +20,8 @@
     int delay_ms = 0;
     /// Sent again and again after the bytes until the caller closes the connection.
     std::string repeated = {};
+    /// Pause between two repetitions.
+    int repeat_pause_ms = 0;
     /// Bytes of the request's body that are read after the response has been sent.
     std::size_t body_bytes = 0;
     /// How long the connection is held open after the response without reading from it.
@@ -50,7 +52,7 @@
  private:
   void Serve();
   void ServeConnection(int connection);
-  void SendEndlessly(int connection, const std::string& repeated);
+  void SendEndlessly(int connection, const std::string& repeated, int pause_ms);
   void AnnouncePeriodically();
 
   std::string address_;
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -335,7 +335,7 @@
 }
 
 asio::awaitable<bool> attempt_sender::ReadToEnd(connection& gate, response_parser& response) {
-  const bool discarded = co_await DiscardResponseBody(gate, response, settings_.progress_timeout);
+  const bool discarded = co_await DiscardResponseBody(gate, response, DiscardDeadline());
   co_return discarded&& response.keep_alive();
 }
 
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -560,13 +560,6 @@
                                     bool keep_open) {
     const unsigned status = response.get().result_int();
     const std::string id(response.get()[kRequestIdHeader]);
-    const milliseconds idle_timeout = PeerIdleTimeout(response.get());
-    bool discarded = false;
-    const bool is_open = backend->stream.socket().is_open();
-    if (is_open && response.keep_alive()) {
-      discarded = co_await DiscardResponseBody(*backend, response, settings_.progress_timeout);
-    }
-    if (discarded) pools_[worker].Return(address, std::move(backend), idle_timeout);
     const std::string reason = status == 421 ? "other-target" : kReasonTargetRefused;
     deps_.metrics.IncrementCounter("catkinmoor_gate_refusals_total", {{"reason", reason}});
     logging::Info("target rejected call without running it",
@@ -575,8 +568,17 @@
                    {"status", static_cast<std::int64_t>(status)}});
     local_response refused =
         NotRunResponse(503, reason, "the target responded with status " + std::to_string(status));
-    co_return co_await SendLocalResponse(entry, refused, keep_open, is_head,
-                                         settings_.progress_timeout);
+    // The refusal does not wait for the rest of a response that is not passed on.
+    const bool sent =
+        co_await SendLocalResponse(entry, refused, keep_open, is_head, settings_.progress_timeout);
+    const milliseconds idle_timeout = PeerIdleTimeout(response.get());
+    bool discarded = false;
+    const bool is_open = backend->stream.socket().is_open();
+    if (is_open && response.keep_alive()) {
+      discarded = co_await DiscardResponseBody(*backend, response, DiscardDeadline());
+    }
+    if (discarded) pools_[worker].Return(address, std::move(backend), idle_timeout);
+    co_return sent;
   }
 
   /// Checks, after a connection to the target was lost, whether the target has stopped listening.
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -456,10 +456,9 @@
 
 }  // namespace
 
-template <bool kIsRequest>
-asio::awaitable<body_outcome> ReadRemainingBody(
-    connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, std::size_t max_bytes,
-    std::string& body, milliseconds progress_timeout) {
+asio::awaitable<body_outcome> ReadRemainingBody(connection& from, request_parser& parser,
+                                                std::size_t max_bytes, std::string& body,
+                                                milliseconds progress_timeout) {
   SetPhase(from, holder_phase::kReading);
   std::size_t used = body.size();
   const auto prepare = [&](std::size_t unparsed) -> asio::awaitable<bool> {
@@ -488,7 +487,7 @@
     parser.get().body().data = nullptr;
     parser.get().body().size = 0;
     const beast::error_code failed =
-        co_await ParseSome<kIsRequest>(from, parser, progress_timeout, kStepBytes, prepare);
+        co_await ParseSome<true>(from, parser, progress_timeout, kStepBytes, prepare);
     if (parser.get().body().data != nullptr) body.resize(body.size() - parser.get().body().size);
     if (IsTurnedAway(from) && !parser.is_done()) {
       body = std::string();
@@ -506,15 +505,10 @@
   co_return body.size() <= max_bytes ? body_outcome::kComplete : body_outcome::kTooLong;
 }
 
-template asio::awaitable<body_outcome> ReadRemainingBody<true>(connection&, request_parser&,
-                                                               std::size_t, std::string&,
-                                                               milliseconds);
-template asio::awaitable<body_outcome> ReadRemainingBody<false>(connection&, response_parser&,
-                                                                std::size_t, std::string&,
-                                                                milliseconds);
-
-asio::awaitable<bool> DiscardBody(connection& from, request_parser& parser,
-                                  milliseconds progress_timeout) {
+template <bool kIsRequest>
+asio::awaitable<bool> DiscardBody(connection& from,
+                                  bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                  milliseconds progress_timeout, time_point deadline) {
   if (parser.is_done()) co_return true;
   SetPhase(from, holder_phase::kReading);
   std::vector<char> block(kWaitingReadBytes);
@@ -525,11 +519,13 @@
     co_return true;
   };
   while (!parser.is_done()) {
-    if (IsTurnedAway(from) || discarded > kMaxDiscardedBytes) co_return false;
+    const time_point now = Now();
+    if (IsTurnedAway(from) || discarded > kMaxDiscardedBytes || now >= deadline) co_return false;
+    const auto left = std::chrono::ceil<milliseconds>(deadline - now);
     parser.get().body().data = nullptr;
     parser.get().body().size = 0;
-    const beast::error_code failed =
-        co_await ParseSome<true>(from, parser, progress_timeout, kStepBytes, prepare);
+    const beast::error_code failed = co_await ParseSome<kIsRequest>(
+        from, parser, std::min(progress_timeout, left), kStepBytes, prepare);
     if (failed && failed != bhttp::error::need_buffer) co_return false;
     if (parser.get().body().data != nullptr) discarded += block.size() - parser.get().body().size;
   }
@@ -537,6 +533,11 @@
   co_return discarded <= kMaxDiscardedBytes;
 }
 
+template asio::awaitable<bool> DiscardBody<true>(connection&, request_parser&, milliseconds,
+                                                 time_point);
+template asio::awaitable<bool> DiscardBody<false>(connection&, response_parser&, milliseconds,
+                                                  time_point);
+
 asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout) {
   bhttp::response<bhttp::empty_body> message(bhttp::status::continue_, 11);
   to.stream.expires_after(timeout);
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -132,15 +132,17 @@
 
 /// Reads the rest of a body into a string. Stops with kTooLong once more than max_bytes are held.
 /// With kTurnedAway, what was read has been released.
+asio::awaitable<body_outcome> ReadRemainingBody(connection& from, request_parser& parser,
+                                                std::size_t max_bytes, std::string& body,
+                                                milliseconds progress_timeout);
+
+/// Reads and discards the rest of a body, so that the connection can be reused. Returns false if
+/// the body is malformed, too long to be worth reading, cut short or not complete at the deadline.
 template <bool kIsRequest>
-asio::awaitable<body_outcome> ReadRemainingBody(
-    connection& from, bhttp::parser<kIsRequest, bhttp::buffer_body>& parser, std::size_t max_bytes,
-    std::string& body, milliseconds progress_timeout);
-
-/// Reads and discards the rest of a request's body, so that the connection can be reused. Returns
-/// false if the body is malformed, too long to be worth reading, or cut short.
-asio::awaitable<bool> DiscardBody(connection& from, request_parser& parser,
-                                  milliseconds progress_timeout);
+asio::awaitable<bool> DiscardBody(connection& from,
+                                  bhttp::parser<kIsRequest, bhttp::buffer_body>& parser,
+                                  milliseconds progress_timeout,
+                                  time_point deadline = time_point::max());
 
 /// Sends "100 Continue".
 asio::awaitable<bool> SendContinue(connection& to, milliseconds timeout);
--- a/src/proxy/internal/target_responses.cc
+++ b/src/proxy/internal/target_responses.cc
@@ -1,5 +1,7 @@
 #include "proxy/internal/target_responses.h"
 
+#include <algorithm>
+
 #include "framework/logging/log.h"
 #include "proxy/internal/wire/message_fields.h"
 
@@ -7,7 +9,9 @@
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
-constexpr std::size_t kMaxSkippedBodyBytes = 256U << 10U;
+// The rest of a response arrives with its head or shortly after. Opening another connection costs
+// less than a longer wait.
+constexpr milliseconds kMaxDiscardTime{250};
 
 }  // namespace
 
@@ -31,14 +35,12 @@
     if (id == call.request_id) co_return head;
     context.metrics.IncrementCounter("catkinmoor_gate_crossed_answers_total");
     logging::Warning("target response belongs to another request; discarded",
-                     {{"request", call.request_id},
-                      {"answers", id},
-                      {"instance", call.instance}});
+                     {{"request", call.request_id}, {"answers", id}, {"instance", call.instance}});
     head.failed = bhttp::error::bad_value;
     head.problem = "the response belongs to another request";
     if (id.empty()) co_return head;
     const bool discarded =
-        co_await DiscardResponseBody(backend, *parser, context.settings.progress_timeout);
+        co_await DiscardResponseBody(backend, *parser, std::min(deadline, DiscardDeadline()));
     if (!discarded) co_return head;
   }
   head.failed = bhttp::error::bad_value;
@@ -74,13 +76,12 @@
 }
 
 asio::awaitable<bool> DiscardResponseBody(connection& backend, response_parser& parser,
-                                          milliseconds progress_timeout) {
+                                          time_point deadline) {
   // A response without a length is delimited by the end of its connection.
   if (parser.need_eof()) co_return false;
-  std::string discarded;
-  const body_outcome outcome = co_await ReadRemainingBody(backend, parser, kMaxSkippedBodyBytes,
-                                                          discarded, progress_timeout);
-  co_return outcome == body_outcome::kComplete;
+  co_return co_await DiscardBody(backend, parser, kMaxDiscardTime, deadline);
 }
 
+time_point DiscardDeadline() { return Now() + kMaxDiscardTime; }
+
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/target_responses.h
+++ b/src/proxy/internal/target_responses.h
@@ -37,9 +37,12 @@
 /// that it cannot be what the target sent. Never true if the platform has no such header.
 bool IsCorrupted(const response_message& response, const http_conventions& conventions);
 
-/// Reads and discards the rest of a short response that is not forwarded. Returns false if the
-/// connection cannot be reused.
+/// Reads and discards the rest of a short response that is not forwarded, until a deadline. Returns
+/// false if the connection cannot be reused.
 asio::awaitable<bool> DiscardResponseBody(connection& backend, response_parser& parser,
-                                          milliseconds progress_timeout);
+                                          time_point deadline);
+
+/// When a response whose body nobody waits for has to be complete: its connection is closed then.
+time_point DiscardDeadline();
 
 }  // namespace catkinmoor::proxy_internal
--- a/src/proxy/internal/wire/message_fields.cc
+++ b/src/proxy/internal/wire/message_fields.cc
@@ -29,12 +29,16 @@
     return !other.empty() && beast::iequals(name, {other.data(), other.size()});
   };
   const std::string_view fixed[] = {"host", "transfer-encoding", kRequestIdHeader};
-  const std::string_view named[] = {
-      conventions.deadline_header,     conventions.instance_header,
-      conventions.caller_service_header, conventions.not_executed_header,
-      conventions.success_proof_header, conventions.limit_header,
-      conventions.load_header,         conventions.leaving_header,
-      conventions.key_header,          conventions.workspace_header};
+  const std::string_view named[] = {conventions.deadline_header,
+                                    conventions.instance_header,
+                                    conventions.caller_service_header,
+                                    conventions.not_executed_header,
+                                    conventions.success_proof_header,
+                                    conventions.limit_header,
+                                    conventions.load_header,
+                                    conventions.leaving_header,
+                                    conventions.key_header,
+                                    conventions.workspace_header};
   return std::any_of(std::begin(fixed), std::end(fixed), is_name) ||
          std::any_of(std::begin(named), std::end(named), is_name);
 }
--- a/src/proxy/tests/message_fields_test.cc
+++ b/src/proxy/tests/message_fields_test.cc
@@ -41,8 +41,7 @@
 bhttp::fields Receive(const std::string& head, const std::string& trailer) {
   bhttp::request_parser<bhttp::buffer_body> parser;
   const std::string text = "POST / HTTP/1.1\r\nHost: a\r\n" + head +
-                           "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + trailer +
-                           "\r\n";
+                           "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + trailer + "\r\n";
   boost::beast::error_code failed;
   boost::asio::const_buffer bytes = boost::asio::buffer(text);
   char body[16];
--- a/src/store/internal/repository_source.cc
+++ b/src/store/internal/repository_source.cc
@@ -36,9 +36,9 @@
     }
     const bool is_complete = latest >= Value(last);
     if (!is_complete && (full_read || latest == before)) {
-      co_return error{error_kind::kUnavailable, "read changes", "table",
-                      "the changes end at " + std::to_string(latest) + " of " +
-                          std::to_string(Value(last))};
+      co_return error{
+          error_kind::kUnavailable, "read changes", "table",
+          "the changes end at " + std::to_string(latest) + " of " + std::to_string(Value(last))};
     }
   }
   auto loaded = co_await LoadVersions(std::move(changes));
