Read a refused version again in time, whatever the poll's wait

A long poll now ends when the version is due to be read again. The test fails on the code before (a wait of more than 8 s).

The fixture of that test handed its settings to the controller before they were set; it now has them from the start.

--- a/src/distribution/internal/source_controller.cc
+++ b/src/distribution/internal/source_controller.cc
@@ -172,7 +172,7 @@
 
 asio::awaitable<result<bool>> source_controller::ReadOnce(milliseconds wait, spread_range range) {
   deps_.metrics.IncrementCounter("catkinmoor_source_reads_total");
-  if (RewindIfDue()) wait = milliseconds(0);
+  wait = RewindIfDue() ? milliseconds(0) : WaitUntilReread(wait);
   const std::uint64_t previous = read_position_;
   const boot_time_point asked_at = BootNow();
   auto fetched = co_await source_.FetchUpdate(previous, wait);
@@ -221,6 +221,13 @@
   return true;
 }
 
+milliseconds source_controller::WaitUntilReread(milliseconds wait) const {
+  if (refused_.empty()) return wait;
+  const auto left = std::chrono::ceil<milliseconds>(reread_at_ - Now());
+  // A wait of 0 would read all entries.
+  return std::clamp(left, milliseconds(1), std::max(wait, milliseconds(1)));
+}
+
 void source_controller::RecordUnusable(const unusable_entry& entry) {
   if (entry.is_document) deps_.documents.RecordRefusal({entry.name, 0, entry.reason});
   SetRefused(entry.name, entry.is_document, entry.reason);
--- a/src/distribution/source_controller.h
+++ b/src/distribution/source_controller.h
@@ -63,6 +63,8 @@
 
   /// Goes back to the position in front of the refused entries if they are to be read again.
   bool RewindIfDue();
+  /// A wait for changes, cut to the time until refused entries are to be read again.
+  milliseconds WaitUntilReread(milliseconds wait) const;
   void RecordUnusable(const unusable_entry& entry);
 
   /// Records an entry that could not be taken over, or that it has been taken over since.
--- a/src/distribution/tests/document_board_test.cc
+++ b/src/distribution/tests/document_board_test.cc
@@ -131,8 +131,9 @@
   std::string text = R"({"schema": 1, "service": "slotboard", "owner": "fitting", "routes": [)";
   for (int i = 0; i < kRoutes; ++i) {
     const std::string number = std::to_string(i);
-    text += (i == 0 ? "" : ",") + (R"({"name": "r)" + number + R"(", "match": {"prefix": "/)") +
-            number + R"(/"}, "class": "browse", "repeatable": true})";
+    text += i == 0 ? "" : ",";
+    text.append(R"({"name": "r)").append(number).append(R"(", "match": {"prefix": "/)");
+    text.append(number).append(R"(/"}, "class": "browse", "repeatable": true})");
   }
   text += "]}";
   document_board board;
--- a/src/distribution/tests/source_controller_test.cc
+++ b/src/distribution/tests/source_controller_test.cc
@@ -48,6 +48,7 @@
   asio::awaitable<result<source_update>> FetchUpdate(std::uint64_t position,
                                                      milliseconds wait) override {
     ++reads;
+    last_wait = wait;
     const bool reads_all = wait.count() == 0;
     source_update update{std::max(document_position, order_position), {}};
     if (document_position > 0 && (reads_all || document_position > position)) {
@@ -72,15 +73,22 @@
   bool order_readable = true;
   int damaged_reads = 0;
   int reads = 0;
+  milliseconds last_wait{0};
 };
 
+distribution_settings FastReads(milliseconds long_poll_wait) {
+  distribution_settings settings;
+  settings.source_poll_interval = milliseconds(10);
+  settings.source_long_poll_wait = long_poll_wait;
+  settings.max_source_age = milliseconds(1'000);
+  settings.key_revocation_bound = milliseconds(1'000);
+  return settings;
+}
+
 /// A reader of the source and a daemon that relies on it.
 struct reading_pair {
-  reading_pair() {
-    settings.source_poll_interval = milliseconds(10);
-    settings.source_long_poll_wait = milliseconds(10);
-    settings.max_source_age = milliseconds(1'000);
-    settings.key_revocation_bound = milliseconds(1'000);
+  explicit reading_pair(milliseconds long_poll_wait = milliseconds(10))
+      : settings(FastReads(long_poll_wait)) {
     for (node* each : {&reader, &other}) {
       for (const node* known : {&reader, &other}) each->members.Merge(known->self.Get());
     }
@@ -194,6 +202,20 @@
   cr_assert_eq(subject.Refusals(), 2U);
 }
 
+// A long poll must not outlast the time at which a refused version is read again.
+Test(source_controller, with_a_refused_version_polls_no_longer_than_until_its_next_read,
+     .timeout = 60) {
+  reading_pair subject(milliseconds(60'000));
+  subject.source.document = Version(8, false);
+  subject.source.document_position = 5;
+  subject.Start();
+  subject.RunUntil([&] { return subject.Refusals() > 0; });
+  for (int i = 0; i < 20; ++i) {
+    subject.RunReads(1);
+    cr_assert_leq(subject.source.last_wait.count(), 8'000);
+  }
+}
+
 Test(source_controller, with_an_unreadable_order_proves_documents_and_reads_the_order_again,
      .timeout = 60) {
   reading_pair subject;
--- a/src/process_tests/internal/scripted_target.cc
+++ b/src/process_tests/internal/scripted_target.cc
@@ -63,28 +63,26 @@
 
 }  // namespace
 
-scripted_target::scripted_target(const std::string& address, script response_script)
-    : address_(address), script_(std::move(response_script)) {
+scripted_server::scripted_server(const std::string& address, int port, script response_script)
+    : script_(std::move(response_script)) {
   listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
   const int enabled = 1;
   ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  const sockaddr_in socket_address = SocketAddress(address, kPort);
+  const sockaddr_in socket_address = SocketAddress(address, port);
   const bool bound = ::bind(listener_, reinterpret_cast<const sockaddr*>(&socket_address),
                             sizeof(socket_address)) == 0 &&
                      ::listen(listener_, SOMAXCONN) == 0;
-  if (!bound) FailTest("cannot bind or listen on the port of the scripted target");
+  if (!bound) FailTest("cannot bind or listen on the port of the scripted server");
   server_ = std::thread([this] { Serve(); });
-  announcer_ = std::thread([this] { AnnouncePeriodically(); });
 }
 
-scripted_target::~scripted_target() {
+scripted_server::~scripted_server() {
   stopping_ = true;
   server_.join();
-  announcer_.join();
   ::close(listener_);
 }
 
-void scripted_target::Serve() {
+void scripted_server::Serve() {
   std::vector<std::thread> handlers;
   while (!stopping_) {
     if (!WaitUntilReadable(listener_, 20)) continue;
@@ -94,7 +92,7 @@
   for (std::thread& each : handlers) each.join();
 }
 
-void scripted_target::ServeConnection(int connection) {
+void scripted_server::ServeConnection(int connection) {
   bool open = true;
   std::string rest;
   while (open && !stopping_) {
@@ -128,7 +126,7 @@
   ::close(connection);
 }
 
-void scripted_target::SendEndlessly(int connection, const std::string& repeated, int pause_ms) {
+void scripted_server::SendEndlessly(int connection, const std::string& repeated, int pause_ms) {
   const timeval send_timeout{0, 50'000};
   ::setsockopt(connection, SOL_SOCKET, SO_SNDTIMEO, &send_timeout, sizeof(send_timeout));
   while (!stopping_) {
@@ -141,6 +139,16 @@
   }
 }
 
+scripted_target::scripted_target(const std::string& address, script response_script)
+    : scripted_server(address, kPort, std::move(response_script)), address_(address) {
+  announcer_ = std::thread([this] { AnnouncePeriodically(); });
+}
+
+scripted_target::~scripted_target() {
+  stopping_ = true;
+  announcer_.join();
+}
+
 void scripted_target::AnnouncePeriodically() {
   const std::string body = R"({"service": "slotboard", "slots": 50, "instance": ")" + RandomId() +
                            R"(", "address": ")" + address_ + ":" + std::to_string(kPort) + "\"}";
--- a/src/process_tests/scripted_target.h
+++ b/src/process_tests/scripted_target.h
@@ -8,9 +8,8 @@
 
 namespace catkinmoor {
 
-/// A target that sends the response bytes that a test specifies, and announces itself to its
-/// daemon.
-class scripted_target {
+/// A server that sends the response bytes that a test specifies.
+class scripted_server {
  public:
   /// The bytes to send, and the delay before them. The connection is closed afterwards unless
   /// keep_alive is set; empty bytes close it without a response.
@@ -32,13 +31,10 @@
   /// Returns the response to a request, given the head of the request.
   using script = std::function<response(const std::string& head)>;
 
-  scripted_target(const std::string& address, script response_script);
-  ~scripted_target();
-  scripted_target(const scripted_target&) = delete;
-  scripted_target& operator=(const scripted_target&) = delete;
-
-  /// Where a target on an address listens.
-  static constexpr int kPort = 8000;
+  scripted_server(const std::string& address, int port, script response_script);
+  ~scripted_server();
+  scripted_server(const scripted_server&) = delete;
+  scripted_server& operator=(const scripted_server&) = delete;
 
   /// Number of requests received so far.
   int Requests() const { return requests_; }
@@ -53,9 +49,7 @@
   void Serve();
   void ServeConnection(int connection);
   void SendEndlessly(int connection, const std::string& repeated, int pause_ms);
-  void AnnouncePeriodically();
 
-  std::string address_;
   script script_;
   int listener_ = -1;
   std::atomic<int> requests_ = 0;
@@ -63,6 +57,24 @@
   std::atomic<int> bodies_read_ = 0;
   std::atomic<bool> stopping_ = false;
   std::thread server_;
+};
+
+/// A scripted server that announces itself to its daemon as a target.
+class scripted_target : public scripted_server {
+ public:
+  scripted_target(const std::string& address, script response_script);
+  ~scripted_target();
+  scripted_target(const scripted_target&) = delete;
+  scripted_target& operator=(const scripted_target&) = delete;
+
+  /// Where a target on an address listens.
+  static constexpr int kPort = 8000;
+
+ private:
+  void AnnouncePeriodically();
+
+  std::string address_;
+  std::atomic<bool> stopping_ = false;
   std::thread announcer_;
 };
 
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -1,6 +1,7 @@
 // Integrity of HTTP messages: truncated and late responses, ambiguous framing, size and time
 // limits.
 
+#include <csignal>
 #include <thread>
 
 #include "process_tests/fleet.h"
@@ -13,12 +14,14 @@
 using catkinmoor::fleet;
 using catkinmoor::raw_connection;
 using catkinmoor::Require;
+using catkinmoor::scripted_server;
 using catkinmoor::scripted_target;
 using catkinmoor::SendRaw;
 using catkinmoor::SlotboardDocument;
 using catkinmoor::http::HeaderValue;
 
 constexpr int kEntryPort = 8080;
+constexpr int kGatePort = 9001;
 
 /// Starts a fleet of one daemon with a scripted target, and waits until its document is in force
 /// and the target is ready.
@@ -247,6 +250,7 @@
   if (path == "/no-answer") return {"", false, 0, kilobyte};
   if (path == "/header-line") return {ok + "X-Long: ", false, 0, kilobyte};
   if (path == "/header") return {ok, false, 0, "X-More: " + kilobyte + "\r\n"};
+  if (path == "/continue") return {"", false, 0, "HTTP/1.1 100 Continue\r\n\r\n"};
   if (path == "/interim") return {"", false, 0, "HTTP/1.1 102 Processing\r\n\r\n"};
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   if (path == "/chunk-extension") return {ok + chunked + "5;", false, 0, kilobyte};
@@ -277,7 +281,7 @@
   const scripted_target target(address, EndlessResponse);
   StartWithDocument(subject, SlotboardDocument(1'500));
   constexpr double kMaxResidentBytes = 96.0 * (1U << 20U);
-  for (const std::string path : {"/no-answer", "/header-line", "/header", "/interim",
+  for (const std::string path : {"/no-answer", "/header-line", "/header", "/continue", "/interim",
                                  "/chunk-extension", "/trailer", "/failure-body"}) {
     std::vector<catkinmoor::http::response> responses(8);
     std::vector<std::thread> callers;
@@ -300,6 +304,81 @@
   Require(complete.status == 200 && complete.body == "hello", complete.body);
 }
 
+// The same, where the server in trouble is the gate of another daemon.
+Test(wire, of_a_gate_whose_responses_do_not_end_closes_the_connections_within_bounded_memory) {
+  fleet subject({.subnet = 252, .vms = 2, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const std::string other = subject.Addresses().back();
+  const auto complete = [](const std::string&) {
+    return scripted_target::response{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true};
+  };
+  const scripted_target remote_target(other, complete);
+  subject.Start();
+  Require(subject.PutDocument(address, SlotboardDocument(1'500), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(address, 1);
+  Require(subject.SendToEntry(address, "GET", "/slots").status == 200);
+
+  // Until its failure is detected, requests are sent to whatever listens in the daemon's place.
+  subject.SignalDaemon(other, SIGKILL);
+  const scripted_server faulty_gate(other, kGatePort, EndlessResponse);
+  constexpr double kMaxResidentBytes = 96.0 * (1U << 20U);
+  constexpr int kCallersPerPath = 16;
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  for (const std::string path : {"/no-answer", "/header-line", "/header", "/continue", "/interim",
+                                 "/chunk-extension", "/trailer", "/failure-body"}) {
+    for (int i = 0; i < kCallersPerPath; ++i) {
+      callers.emplace_back([&, path] {
+        const unsigned status = subject.SendToEntry(address, "GET", path).status;
+        if (status != 0 && status < 500) ++answered;
+      });
+    }
+  }
+  double resident = 0;
+  for (std::thread& each : callers) {
+    resident = std::max(resident, MetricOf(subject, address, "catkinmoor_resident_bytes"));
+    each.join();
+  }
+  Require(faulty_gate.Requests() > kCallersPerPath, std::to_string(faulty_gate.Requests()));
+  Require(answered == 0, std::to_string(answered));
+  Require(resident < kMaxResidentBytes, std::to_string(resident) + " bytes");
+  catkinmoor::WaitUntil("the end of all responses without end", [&] {
+    return faulty_gate.EndlessResponsesClosed() >= faulty_gate.Requests();
+  });
+  const scripted_target own_target(address, complete);
+  catkinmoor::WaitUntil("a response of the daemon's own target", [&] {
+    return subject.SendToEntry(address, "GET", "/slots").body == "hello";
+  });
+}
+
+// Guards against chunk extensions and trailers that are kept in memory while they go on.
+Test(wire, of_chunk_framing_too_long_ends_the_message_before_its_deadline) {
+  fleet subject({.subnet = 136, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string framing(32U << 10U, 'x');
+  const scripted_target target(address, [&](const std::string& head) {
+    const std::string begin = PathOf(head) == "/trailer" ? "5\r\nhello\r\n0\r\nX-More: " : "5;";
+    return scripted_target::response{.bytes = "HTTP/1.1 200 OK\r\n" + chunked + begin + framing,
+                                     .hold_ms = 6'000};
+  });
+  StartWithDocument(subject, SlotboardDocument(5'000));
+  for (const char* path : {"/chunk-extension", "/trailer"}) {
+    const auto begun = catkinmoor::Now();
+    const auto response = subject.SendToEntry(address, "GET", path);
+    Require(response.status == 0 || response.status >= 500, std::to_string(response.status));
+    Require(catkinmoor::Now() - begun < catkinmoor::milliseconds(2'000), path);
+  }
+  for (const char* begin : {"1;", "1\r\na\r\n0\r\nX-More: "}) {
+    raw_connection caller(address, kEntryPort);
+    caller.Send("POST /holds/1 HTTP/1.1\r\nHost: slotboard\r\n" + chunked);
+    caller.Send(begin + framing);
+    const std::string response = caller.ReceiveUntil("\r\n\r\n", 2'000);
+    Require(response.rfind("HTTP/1.1 400", 0) == 0, begin + response.substr(0, 40));
+  }
+}
+
 namespace {
 
 std::string UploadRequest(std::size_t bytes) {
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -14,6 +14,8 @@
 // A gate remembers forwarded requests for at least this long. Its reply about an older one is
 // ignored, because it may have forgotten that it forwarded the request.
 constexpr milliseconds kGateRetention{30'000};
+constexpr unsigned kContinueStatus = 100;
+constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMinFailureStatus = 500;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
 
@@ -111,7 +113,7 @@
         }
       });
     }
-    co_await ReadGateResponse(caller, call, attempt);
+    co_await ReadGateResponse(caller, call, false, attempt);
     if (upload != nullptr) {
       upload->OnDone(nullptr);
       const bool caller_failed =
@@ -244,8 +246,10 @@
     }
   }
   attempt.outcome = attempt_outcome::kLost;
-  co_await ReadGateResponse(caller, call, attempt);
-  if (attempt.response == nullptr || attempt.response->get().result_int() != 100) co_return;
+  co_await ReadGateResponse(caller, call, true, attempt);
+  if (attempt.response == nullptr || attempt.response->get().result_int() != kContinueStatus) {
+    co_return;
+  }
   attempt.response.reset();
   attempt.body_consumed = true;
   if (call.expects_continue) {
@@ -263,6 +267,7 @@
 
 asio::awaitable<void> attempt_sender::ReadGateResponse(caller_session& caller,
                                                        const call_state& call,
+                                                       bool accepts_continue,
                                                        attempt_result& attempt) {
   auto parser = std::make_unique<response_parser>();
   parser->body_limit(boost::none);
@@ -287,13 +292,15 @@
     head = co_await http::ReadResponseHead(attempt.gate->stream, attempt.gate->buffer, *parser,
                                            kMaxResponseHeaderBytes);
   }
-  if (!head.failed) {
+  const unsigned status = head.failed ? 0 : parser->get().result_int();
+  if (status >= kMinFinalStatus || (accepts_continue && status == kContinueStatus)) {
     attempt.response = std::move(parser);
     co_return;
   }
   Abort(*attempt.gate);
   attempt.caller_disconnected = caller_gone;
-  attempt.failure = {error_kind::kUnavailable, "await answer", "", head.Message()};
+  attempt.failure = {error_kind::kUnavailable, "await answer", "",
+                     head.failed ? head.Message() : "unexpected interim response"};
 }
 
 asio::awaitable<void> attempt_sender::ClassifyResponse(entry_worker_state& worker,
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -58,8 +58,10 @@
                                       attempt_result& attempt);
 
   /// Reads the header of the gate's response. Leaves the attempt's response empty if none arrived.
+  /// "100 Continue" counts as a response only if the gate was asked for it; after any other interim
+  /// response the final one is still due, and the connection is closed.
   asio::awaitable<void> ReadGateResponse(caller_session& caller, const call_state& call,
-                                         attempt_result& attempt);
+                                         bool accepts_continue, attempt_result& attempt);
 
   /// Sets the outcome of an attempt from its response, which is the target's or the gate's own.
   asio::awaitable<void> ClassifyResponse(entry_worker_state& worker, member_record target,
