Bound chunk extensions and trailers by 16 KB

A target, a gate or a caller that sends a chunk extension or a trailer without end was read up to 256 KB on each connection, and one that stopped in it was waited for until the deadline. Unparsed framing behind a head is now bounded by 16 KB in daemons, and read in small steps from 2 KB on; the client for the store and the server hold 32 KB of unparsed bytes at most. `wire/of_chunk_framing_too_long_*` fails on the code before: the call is not over after 2 s.

A connection with bytes behind its response is no longer kept in the pool, where it was closed when it was next taken.

--- a/src/framework/http/internal/client.cc
+++ b/src/framework/http/internal/client.cc
@@ -35,7 +35,7 @@
 constexpr std::size_t kBodyReadBytes = 8U << 10U;
 constexpr std::size_t kBodyStepBytes = 16U << 10U;
 /// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
-constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
+constexpr std::size_t kMaxUnparsedBytes = 32U << 10U;
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
 
--- a/src/framework/http/internal/server.cc
+++ b/src/framework/http/internal/server.cc
@@ -24,7 +24,7 @@
 
 constexpr auto kAwait = asio::experimental::as_tuple(asio::use_awaitable);
 /// Bounds the parts of a message that have no limit of their own, such as chunk extensions.
-constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
+constexpr std::size_t kMaxUnparsedBytes = 32U << 10U;
 
 request HeadOf(const bhttp::request<bhttp::string_body>& from) {
   request to;
--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -352,6 +352,33 @@
   });
 }
 
+// Guards against chunk extensions and trailers that are kept in memory while they go on.
+Test(wire, of_chunk_framing_too_long_ends_the_message_before_its_deadline) {
+  fleet subject({.subnet = 136, .vms = 1, .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string framing(32U << 10U, 'x');
+  const scripted_target target(address, [&](const std::string& head) {
+    const std::string begin = PathOf(head) == "/trailer" ? "5\r\nhello\r\n0\r\nX-More: " : "5;";
+    return scripted_target::response{.bytes = "HTTP/1.1 200 OK\r\n" + chunked + begin + framing,
+                                     .hold_ms = 6'000};
+  });
+  StartWithDocument(subject, SlotboardDocument(5'000));
+  for (const char* path : {"/chunk-extension", "/trailer"}) {
+    const auto begun = catkinmoor::Now();
+    const auto response = subject.SendToEntry(address, "GET", path);
+    Require(response.status == 0 || response.status >= 500, std::to_string(response.status));
+    Require(catkinmoor::Now() - begun < catkinmoor::milliseconds(2'000), path);
+  }
+  for (const char* begin : {"1;", "1\r\na\r\n0\r\nX-More: "}) {
+    raw_connection caller(address, kEntryPort);
+    caller.Send("POST /holds/1 HTTP/1.1\r\nHost: slotboard\r\n" + chunked);
+    caller.Send(begin + framing);
+    const std::string response = caller.ReceiveUntil("\r\n\r\n", 2'000);
+    Require(response.rfind("HTTP/1.1 400", 0) == 0, begin + response.substr(0, 40));
+  }
+}
+
 namespace {
 
 std::string UploadRequest(std::size_t bytes) {
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -28,6 +28,8 @@
 // A buffered body is parsed into this much memory at a time. It is cleared for each chunk, so it is
 // small.
 constexpr std::size_t kParseBytes = 4U << 10U;
+// Bounds the parts of a body that have no limit of their own: chunk extensions and trailers.
+constexpr std::size_t kMaxFramingBytes = 16U << 10U;
 // A connection that is turned away gets its response at once or not at all.
 constexpr milliseconds kTurnAwayTimeout{500};
 
@@ -175,7 +177,12 @@
       from.buffer.consume(ParseBytes(parser, from.buffer.data(), failed));
       if (failed != bhttp::error::need_more) co_return failed;
     }
-    failed = co_await FillBuffer(from, max_read_bytes, timeout);
+    std::size_t read_bytes = max_read_bytes;
+    if (parser.is_header_done() && from.buffer.size() > kWaitingReadBytes) {
+      if (from.buffer.size() > kMaxFramingBytes) co_return bhttp::error::buffer_overflow;
+      read_bytes = kWaitingReadBytes;
+    }
+    failed = co_await FillBuffer(from, read_bytes, timeout);
     if (failed == asio::error::eof) {
       failed = {};
       if (!parser.got_some()) co_return bhttp::error::end_of_stream;
@@ -642,6 +649,8 @@
 }
 
 void connection_pool::Return(const endpoint& peer, connection_ptr idle, milliseconds idle_timeout) {
+  // Bytes behind a response belong to no request.
+  if (idle->buffer.size() > 0) return;
   auto& connections = idle_[peer];
   if (static_cast<std::int64_t>(connections.size()) >= limit_) return;
   idle->stream.expires_never();
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -39,8 +39,7 @@
 using request_message = bhttp::request<bhttp::buffer_body>;
 using response_message = bhttp::response<bhttp::buffer_body>;
 
-/// Maximum bytes read from a connection but not parsed yet. It bounds the parts of a message that
-/// have no limit of their own, such as chunk extensions and trailers.
+/// Maximum bytes read from a connection but not parsed yet.
 inline constexpr std::size_t kMaxUnparsedBytes = 256U << 10U;
 
 /// A TCP connection and the bytes read from it but not parsed yet.
