State in programs what they were built from

Member records carry the release and the first 12 digits, so that any daemon lists the builds of the mesh (/v1/members, catkinctl builds). Records from older releases have none and count as "not stated".

Test: distribution of_daemons_of_one_build_states_it_in_logs_metrics_and_the_list_of_members, and member_message in peer_convert_test. Both need the new interfaces and could not be run on the code before.

--- a/src/administration/internal/administration_service.cc
+++ b/src/administration/internal/administration_service.cc
@@ -316,7 +316,8 @@
                      {"region", member->region},
                      {"data_centre", member->data_centre},
                      {"state", StateName(member->version.state)},
-                     {"incarnation", member->version.incarnation}};
+                     {"incarnation", member->version.incarnation},
+                     {"build", member->build}};
     if (member->target) {
       entry["service"] = member->target->service;
       entry["target_state"] = StateName(member->target->state);
--- a/src/app_catkin_link/main.cc
+++ b/src/app_catkin_link/main.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "framework/base/build_info.h"
 #include "framework/base/endpoint.h"
 #include "framework/http/server.h"
 #include "framework/logging/log.h"
@@ -32,7 +33,7 @@
   app.add_option("--delay-ms", delay_ms, "Delay of every byte in each direction, in milliseconds");
   app.add_option("--control", control, "Endpoint of the control interface, as address:port")
       ->required();
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", catkinmoor::FormatBuildInfo(catkinmoor::ThisBuild()));
   app.footer("Example: catkin_link --port-offset 10000 --port 9001,9002 --control 127.0.0.1:9201");
   CLI11_PARSE(app, argc, argv);
   settings.delay = catkinmoor::milliseconds(delay_ms);
--- a/src/app_catkin_load/main.cc
+++ b/src/app_catkin_load/main.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "framework/base/build_info.h"
 #include "framework/json/reader.h"
 #include "load/convergence.h"
 #include "load/footprint.h"
@@ -65,7 +66,7 @@
 
 int Run(int argc, char** argv) {
   CLI::App app("catkin_load: load generator, ledger checks and measurements");
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", FormatBuildInfo(ThisBuild()));
   app.require_subcommand(1);
   app.footer(
       "Exit codes: 0 no violation, 1 failed, 3 a guarantee was violated.\n"
--- a/src/app_catkin_platform/main.cc
+++ b/src/app_catkin_platform/main.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 
+#include "framework/base/build_info.h"
 #include "framework/base/endpoint.h"
 #include "framework/http/server.h"
 #include "framework/logging/log.h"
@@ -14,7 +15,7 @@
   CLI::App app("catkin_platform: stand-in for the platform's table and object store");
   std::string listen_text = "127.0.0.1:9100";
   app.add_option("--listen", listen_text, "Address to listen on, as address:port");
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", catkinmoor::FormatBuildInfo(catkinmoor::ThisBuild()));
   app.footer("Example: catkin_platform --listen 127.0.0.1:9100");
   CLI11_PARSE(app, argc, argv);
   catkinmoor::logging::Start("catkin_platform", false);
--- a/src/app_catkin_target/main.cc
+++ b/src/app_catkin_target/main.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "framework/base/build_info.h"
 #include "framework/logging/log.h"
 #include "stand_in/target_stand_in.h"
 
@@ -13,7 +14,7 @@
   bool check = false;
   app.add_option("--settings", settings_path, "Settings file, JSON with comments")->required();
   app.add_flag("--check-settings", check, "Check the settings and exit");
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", catkinmoor::FormatBuildInfo(catkinmoor::ThisBuild()));
   app.footer("Example: catkin_target --settings examples/catkin_target.json");
   CLI11_PARSE(app, argc, argv);
   auto text = catkinmoor::json::ReadFile(settings_path);
--- a/src/app_catkinctl/main.cc
+++ b/src/app_catkinctl/main.cc
@@ -7,10 +7,13 @@
 #include <cstdlib>
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <sstream>
 #include <thread>
+#include <vector>
 
 #include "document/document.h"
+#include "framework/base/build_info.h"
 #include "framework/base/digest.h"
 #include "operator_client/operator_client.h"
 
@@ -204,6 +207,22 @@
     });
   }
 
+  int Builds() {
+    return Print(client_.Call("GET", "/v1/members"), [](const bj::value& body) {
+      std::map<std::string, std::vector<std::string>> daemons;
+      for (const bj::value& each : body.as_object().at("members").as_array()) {
+        const std::string state = FieldText(each, "state");
+        if (state != "alive" && state != "suspect") continue;
+        const std::string build = FieldText(each, "build");
+        daemons[build.empty() ? "not stated" : build].push_back(FieldText(each, "vm"));
+      }
+      for (const auto& [build, vms] : daemons) {
+        std::cout << build << "  " << vms.size() << (vms.size() == 1 ? " daemon\n" : " daemons\n");
+        for (const std::string& vm : vms) std::cout << "    " << vm << "\n";
+      }
+    });
+  }
+
   int Change(const std::string& change_id) {
     return Print(client_.Call("GET", "/v1/changes/" + change_id), [](const bj::value& body) {
       std::cout << FieldText(body, "outcome") << "\n";
@@ -364,7 +383,7 @@
   app.add_option("--timeout-ms", common.timeout_ms, "Timeout of one call, in milliseconds")
       ->check(CLI::Range(1, 600'000));
   app.add_flag("--json", common.json, "Print responses as JSON");
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", FormatBuildInfo(ThisBuild()));
   app.footer(kFooter);
   app.require_subcommand(1);
 
@@ -421,6 +440,9 @@
   auto* members = app.add_subcommand("members", "List daemons and targets");
   members->callback([&] { code = MakeRunner(common).Members(); });
 
+  auto* builds = app.add_subcommand("builds", "List the builds that run, and the daemons of each");
+  builds->callback([&] { code = MakeRunner(common).Builds(); });
+
   auto* change = app.add_subcommand("change", "Show the outcome of an undecided edit");
   change->add_option("id", options.change_id, "Change id")->required();
   change->callback([&] { code = MakeRunner(common).Change(options.change_id); });
--- a/src/app_catkinmoord/main.cc
+++ b/src/app_catkinmoord/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "daemon/daemon.h"
+#include "framework/base/build_info.h"
 #include "framework/logging/log.h"
 
 namespace {
@@ -25,7 +26,7 @@
   app.add_flag("--check-settings", check, "Check the settings and exit");
   app.add_flag("--print-settings", print, "Print the effective settings and exit");
   app.add_flag("--settings-reference", reference, "Print every setting as Markdown and exit");
-  app.set_version_flag("--version", CATKINMOOR_VERSION);
+  app.set_version_flag("--version", catkinmoor::FormatBuildInfo(catkinmoor::ThisBuild()));
   app.footer("Example: catkinmoord --settings examples/catkinmoord.json");
   CLI11_PARSE(app, argc, argv);
   if (reference) {
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -22,6 +22,7 @@
 #include "distribution/membership_controller.h"
 #include "distribution/rollout_controller.h"
 #include "distribution/quota_controller.h"
+#include "framework/base/build_info.h"
 #include "framework/base/digest.h"
 #include "framework/http/client.h"
 #include "framework/http/server.h"
@@ -56,7 +57,9 @@
           endpoint_at(settings.gate_port),
           endpoint_at(settings.control_port),
           {UnixMilliseconds(), 1, member_state::kAlive},
-          std::nullopt};
+          std::nullopt,
+          std::nullopt,
+          BuildName(ThisBuild())};
 }
 
 std::vector<endpoint> SeedEndpoints(const daemon_settings& settings) {
@@ -162,6 +165,10 @@
         reload_signal_(control_context_, SIGHUP) {}
 
   result<done> Run() {
+    logging::Info("daemon starting", {{"vm", settings_.vm},
+                                      {"version", ThisBuild().version},
+                                      {"sources", ThisBuild().sources},
+                                      {"machine", ThisBuild().machine}});
     for (const auto& listen_result : ListenAll()) {
       if (!Ok(listen_result)) return Failure(listen_result);
     }
@@ -472,6 +479,10 @@
 
   void RefreshMetrics() {
     quotas_.RefreshMetrics();
+    metrics_.SetGauge("catkinmoor_build_info", 1,
+                      {{"version", ThisBuild().version},
+                       {"sources", ThisBuild().sources},
+                       {"machine", ThisBuild().machine}});
     const peer_traffic client = peers_.Traffic();
     const peer_traffic server = peer_server_.Traffic();
     const auto sum = [](std::uint64_t left, std::uint64_t right) {
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -66,6 +66,8 @@
   member_version version;
   std::optional<target_announcement> target;
   std::optional<departed_target> departed = std::nullopt;
+  /// The name of the daemon's build; empty for daemons that do not state it.
+  std::string build = {};
 
   friend bool operator==(const member_record&, const member_record&) = default;
 };
--- a/src/peer/internal/convert.cc
+++ b/src/peer/internal/convert.cc
@@ -149,6 +149,7 @@
   ToWire(from.control, *to.mutable_control());
   ToWire(from.version, *to.mutable_version());
   if (from.target) ToWire(*from.target, *to.mutable_target());
+  to.set_build(from.build);
   if (!from.departed) return;
   to.set_departed_instance(from.departed->instance);
   to.set_departed_born_ms(from.departed->start_ms);
@@ -166,6 +167,7 @@
   if (!from.departed_instance().empty()) {
     to.departed = departed_target{from.departed_instance(), from.departed_born_ms()};
   }
+  to.build = from.build();
   return to;
 }
 
--- a/src/peer/tests/convert_test.cc
+++ b/src/peer/tests/convert_test.cc
@@ -48,3 +48,13 @@
   cr_assert_eq(received.documents.front().version, 7U);
   cr_assert_neq(Sha256Hex(received.documents.front().text), received.documents.front().digest);
 }
+
+Test(member_message, with_the_build_of_a_daemon_states_it_to_the_receiver) {
+  spread_request sent;
+  sent.members = {{.vm = "a-1", .build = "0.1.0+1234567890ab"}};
+  catkinmoor::wire::SpreadRequest message;
+  ToWire(sent, message);
+  spread_request received;
+  FromWire(message, received);
+  cr_assert(received.members == sent.members);
+}
--- a/src/process_tests/tests/distribution_test.cc
+++ b/src/process_tests/tests/distribution_test.cc
@@ -2,21 +2,26 @@
 // are killed and restarted without stored state.
 
 #include <csignal>
+#include <fstream>
 #include <set>
 #include <thread>
 
+#include "framework/base/build_info.h"
 #include "process_tests/fleet.h"
 
 #include <criterion/criterion.h>
 
 namespace {
 
+using catkinmoor::build_info;
+using catkinmoor::BuildName;
 using catkinmoor::fleet;
 using catkinmoor::Require;
 using catkinmoor::SlotboardDocument;
+using catkinmoor::ThisBuild;
 using catkinmoor::WaitUntil;
 
-bool BodyContains(const catkinmoor::http::response& response, const char* text) {
+bool BodyContains(const catkinmoor::http::response& response, const std::string& text) {
   return response.body.find(text) != std::string::npos;
 }
 
@@ -43,6 +48,29 @@
   });
 }
 
+// An operator has to see which daemons run what was deployed, from any of them.
+Test(distribution, of_daemons_of_one_build_states_it_in_logs_metrics_and_the_list_of_members) {
+  fleet subject({.subnet = 200, .vms = 2, .start_targets = false});
+  subject.Start();
+  const build_info& build = ThisBuild();
+  for (const std::string& address : subject.Addresses()) {
+    std::string first;
+    WaitUntil("the first line of the log", [&] {
+      std::ifstream log(subject.Directory() + "/" + address + ".daemon.log");
+      return static_cast<bool>(std::getline(log, first));
+    });
+    Require(first.find("\"sources\":\"" + build.sources + "\"") != std::string::npos, first);
+    const std::string gauge = "catkinmoor_build_info{machine=\"" + build.machine + "\",sources=\"" +
+                              build.sources + "\",version=\"" + build.version + "\"} 1";
+    Require(BodyContains(subject.SendToAdministration(address, "GET", "/metrics"), gauge), gauge);
+    const auto members = subject.SendToAdministration(address, "GET", "/v1/members");
+    const std::string stated = "\"build\":\"" + BuildName(build) + "\"";
+    const auto one = members.body.find(stated);
+    Require(one != std::string::npos && members.body.find(stated, one + 1) != std::string::npos,
+            members.body);
+  }
+}
+
 Test(distribution, with_the_store_down_right_after_acceptance_still_reaches_every_daemon) {
   fleet subject({.subnet = 64, .regions = 3, .vms = 2, .start_targets = false});
   subject.Start();
