Apply the operator's limit of request headers, and read at gates what entries add

Cause: the adapter ignored the configuration's limits, so that 16 KB always applied. The gate applied the same 16 KB to what the entry sends, which is the caller's header and the fields of the call.

Change: documents have header_bytes (16 KB where none is stated, at most 128 KB, so that a header fits into the buffer of a connection); the entry applies the larger of it and its own setting. Gates read 8 KB more than the widest limit. The field is written only where it differs from the default.

--- a/src/document/document.h
+++ b/src/document/document.h
@@ -112,6 +112,11 @@
   friend bool operator==(const workspace&, const workspace&) = default;
 };
 
+/// Bytes of a request's header that callers may send if neither a document nor a setting says more.
+inline constexpr std::int64_t kDefaultHeaderBytes = 16 << 10;
+/// The largest value of such a limit.
+inline constexpr std::int64_t kMaxHeaderBytes = 128 << 10;
+
 /// Routing configuration of one service, written by the team that owns it. Immutable once parsed.
 struct document {
   std::int64_t schema = 1;
@@ -122,6 +127,9 @@
   std::vector<route> routes;
   /// If not empty, requests on routes that are not public need the key of a workspace.
   std::vector<workspace> workspaces;
+  /// Largest header of a request, in bytes. Applies where one document serves all hosts, to daemons
+  /// whose own setting is not larger.
+  std::int64_t header_bytes = kDefaultHeaderBytes;
 
   friend bool operator==(const document&, const document&) = default;
 };
--- a/src/document/internal/document.cc
+++ b/src/document/internal/document.cc
@@ -203,7 +203,7 @@
   return json::WriteArrayOfNonDefaults<workspace>(from.workspaces, kWorkspaceFields);
 }
 
-const std::array<field<document>, 7> kDocumentFields = {{
+const std::array<field<document>, 8> kDocumentFields = {{
     {"schema", &document::schema, "Version of the document's format.", true, 1, kMaxDocumentSchema},
     {"service", &document::service, "Name of the service.", true, 1},
     {"owner", &document::owner, "Team that may change the document.", true, 1},
@@ -214,6 +214,8 @@
      true},
     {"workspaces", custom_member<document>{ReadWorkspaces, WriteWorkspaces},
      "Groups of callers; if there are any, requests need a key."},
+    {"header_bytes", &document::header_bytes, "Largest header of a request, in bytes.", false,
+     kDefaultHeaderBytes, kMaxHeaderBytes},
 }};
 
 bool IsSubset(const std::vector<std::string>& inner, const std::vector<std::string>& outer) {
--- a/src/proxy/internal/call_headers.h
+++ b/src/proxy/internal/call_headers.h
@@ -99,6 +99,9 @@
 /// numbers are missing or malformed; a fourth that is malformed counts as absent.
 std::optional<target_load_report> ParseTargetLoad(std::string_view text, time_point received_at);
 
+/// Room for the headers that an entry adds to a caller's request.
+inline constexpr std::int64_t kCallHeaderBytes = 8 << 10;
+
 /// Writes the headers of a call. Fields is any Beast header type.
 template <typename Fields>
 void WriteCallHeaders(const gate_call& call, Fields& fields) {
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -152,13 +152,21 @@
     }
   }
 
+  /// The largest header that callers may send, by the setting or the document for all hosts.
+  std::int64_t MaxHeaderBytes() const {
+    if (settings_.mesh_document.empty()) return settings_.max_header_bytes;
+    const auto document = deps_.documents.InForce(settings_.mesh_document);
+    if (document == nullptr) return settings_.max_header_bytes;
+    return std::max(settings_.max_header_bytes, document->content.header_bytes);
+  }
+
   void StartServing(std::size_t worker, asio::ip::tcp::socket socket, listener_kind kind) {
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto opened = std::make_unique<connection>(beast::tcp_stream(std::move(socket)));
     OpenAccount(*opened, deps_.connections, holder_kind::kCaller);
-    auto caller = std::make_shared<caller_session>(
-        std::move(opened), static_cast<std::size_t>(settings_.max_header_bytes));
+    auto caller = std::make_shared<caller_session>(std::move(opened),
+                                                   static_cast<std::size_t>(MaxHeaderBytes()));
     asio::co_spawn(workers_.Context(worker),
                    Serve(shared_from_this(), worker, std::move(caller), kind), asio::detached);
   }
@@ -200,7 +208,8 @@
     const auto request = std::make_shared<caller_request>();
     const bool is_idle = caller->IsEmpty();
     if (is_idle) worker.idle_callers.insert(&from);
-    const read_result read = co_await ReadRequestHeader(from, request->parser, settings_, !is_idle);
+    const read_result read =
+        co_await ReadRequestHeader(from, request->parser, settings_, MaxHeaderBytes(), !is_idle);
     worker.idle_callers.erase(&from);
     if (read.outcome == read_outcome::kDisconnected) co_return false;
     if (read.outcome == read_outcome::kMalformed) {
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -178,10 +178,13 @@
 
   static asio::awaitable<void> Serve(std::shared_ptr<impl> self, std::size_t worker,
                                      connection_ptr entry) {
+    const std::int64_t max_header_bytes =
+        std::max(self->settings_.max_header_bytes, kMaxHeaderBytes) + kCallHeaderBytes;
     bool keep_open = true;
     while (keep_open) {
       request_parser parser;
-      const read_result read = co_await ReadRequestHeader(*entry, parser, self->settings_);
+      const read_result read =
+          co_await ReadRequestHeader(*entry, parser, self->settings_, max_header_bytes);
       if (read.outcome == read_outcome::kDisconnected) co_return;
       if (read.outcome == read_outcome::kMalformed) {
         co_await SendLocalResponse(*entry, read.response, false, false,
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -325,8 +325,9 @@
 }
 
 asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
-                                               const proxy_settings& settings, bool behind_others) {
-  parser.header_limit(static_cast<std::uint32_t>(settings.max_header_bytes));
+                                               const proxy_settings& settings,
+                                               std::int64_t max_header_bytes, bool behind_others) {
+  parser.header_limit(static_cast<std::uint32_t>(max_header_bytes));
   parser.body_limit(static_cast<std::uint64_t>(settings.max_body_bytes));
   if (!behind_others) SetPhase(from, holder_phase::kIdle);
   // The wait for the first byte may take the idle timeout; from then on, the header timeout
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -74,8 +74,9 @@
   std::string load;
 };
 
-/// Reads a request's header into the parser. For a malformed or late header, the result holds the
-/// response to send; kDisconnected means that the peer closed the connection or stayed idle.
+/// Reads a request's header of at most max_header_bytes into the parser. For a malformed or late
+/// header, the result holds the response to send; kDisconnected means that the peer closed the
+/// connection or stayed idle.
 enum class read_outcome { kRequest, kMalformed, kDisconnected };
 struct read_result {
   read_outcome outcome = read_outcome::kDisconnected;
@@ -83,6 +84,7 @@
 };
 asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
                                                const proxy_settings& settings,
+                                               std::int64_t max_header_bytes,
                                                bool behind_others = false);
 
 /// Sends a response that this daemon generated. Returns false if the connection cannot be reused.
--- a/src/proxy/proxy_settings.h
+++ b/src/proxy/proxy_settings.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "document/document.h"
 #include "framework/base/address_translation.h"
 #include "framework/base/clock.h"
 
@@ -47,7 +48,7 @@
 
 /// Limits and timeouts of the request path.
 struct proxy_settings {
-  std::int64_t max_header_bytes = 16 << 10;
+  std::int64_t max_header_bytes = kDefaultHeaderBytes;
   std::int64_t max_body_bytes = 4LL << 30;
   std::int64_t max_replay_bytes = 64 << 10;
   milliseconds header_timeout{10'000};
