Log what is known about a gate that does not answer about a request

The log line "attempt failed" with the reason "unheard" does not tell whether the gate's daemon was suspected, had another incarnation, or had only left one query of a stop unanswered. No decision changes.

--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "framework/http/response_reader.h"
+#include "framework/logging/log.h"
 #include "proxy/internal/target_responses.h"
 
 namespace catkinmoor::proxy_internal {
@@ -23,6 +24,27 @@
   return std::chrono::duration_cast<milliseconds>(moment - Now());
 }
 
+const char* MemberStateName(const member_record* member) {
+  return member == nullptr ? "absent" : StateName(member->version.state);
+}
+
+/// Logs what is known about a gate that does not answer a query, once for each state of its member.
+void LogUnansweredQuery(response_wait& wait, const member_record* present, bool stopping) {
+  const char* const state = MemberStateName(present);
+  if (wait.logged_member_state == state) return;
+  wait.logged_member_state = state;
+  const std::uint64_t incarnation = present == nullptr ? 0 : present->version.incarnation;
+  const auto waited = std::chrono::duration_cast<milliseconds>(Now() - wait.sent_at);
+  logging::Info("gate does not answer about a request",
+                {{"attempt", wait.attempt_id},
+                 {"vm", wait.target.vm},
+                 {"member_state", state},
+                 {"asked_incarnation", static_cast<std::int64_t>(wait.target.version.incarnation)},
+                 {"present_incarnation", static_cast<std::int64_t>(incarnation)},
+                 {"waited_ms", waited.count()},
+                 {"stopping", stopping}});
+}
+
 }  // namespace
 
 std::optional<milliseconds> attempt_sender::RemainingObjective(const call_state& call) {
@@ -171,6 +193,7 @@
       co_return;
     }
     const member_ptr current = deps_.members.Find(target.vm);
+    if (fate == request_fate::kUnknown) LogUnansweredQuery(*wait, current.get(), stopping);
     if (fate == request_fate::kUnknown &&
         ShouldAbandonUnreachable(wait->repeatable, current.get(), target.version.incarnation)) {
       wait->gate_unreachable = true;
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -70,6 +70,8 @@
   bool repeatable = false;
   /// Whether the gate cannot be queried and its daemon is known to be gone.
   bool gate_unreachable = false;
+  /// State of the gate's member when an unanswered query was last logged.
+  std::string logged_member_state;
 };
 
 /// How an attempt ended, with what is needed to deliver its response.
