Test that a stopping entry waits for the response behind a suspected gate

Once the entry has logged that the gate, whose member is not alive any more, left a query unanswered, the target responds and the gate's daemon goes on. The response must be delivered, from one run.

--- a/src/process_tests/fleet.h
+++ b/src/process_tests/fleet.h
@@ -67,6 +67,9 @@
   /// The process of a running daemon.
   pid_t DaemonProcess(const std::string& address) const { return daemon_processes_.at(address); }
 
+  /// All that a daemon has written to its log so far.
+  std::string DaemonLog(const std::string& address) const;
+
   /// Sets the faults that the platform stand-in injects.
   void SetFaults(const std::string& json);
   std::uint64_t PlatformReads() const;
--- a/src/process_tests/internal/fleet.cc
+++ b/src/process_tests/internal/fleet.cc
@@ -40,6 +40,13 @@
   return failed ? bj::value() : parsed;
 }
 
+std::string ReadFile(const fs::path& path) {
+  const std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 }  // namespace
 
 void FailTest(const std::string& message) { throw std::runtime_error(message); }
@@ -249,6 +256,10 @@
   return end;
 }
 
+std::string fleet::DaemonLog(const std::string& address) const {
+  return ReadFile(directory_ + "/" + address + ".daemon.log");
+}
+
 void fleet::SetFaults(const std::string& json) {
   const auto server = Value(ParseEndpoint(PlatformAddress()));
   const auto set = http::SendBlocking(server, {"POST", "/control/faults", {}, json}, kCallTimeout);
@@ -344,10 +355,7 @@
   std::vector<std::string> texts;
   for (const auto& each : fs::directory_iterator(directory_)) {
     if (each.path().extension() != extension) continue;
-    std::ifstream file(each.path());
-    std::ostringstream text;
-    text << file.rdbuf();
-    texts.push_back(text.str());
+    texts.push_back(ReadFile(each.path()));
   }
   return texts;
 }
--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <future>
 #include <random>
+#include <sstream>
 #include <thread>
 
 #include "process_tests/fleet.h"
@@ -36,6 +37,27 @@
   return found == report.outcomes.end() ? 0 : found->second;
 }
 
+/// Whether an entry has left a query of a gate unanswered whose member is not alive any more.
+bool HasLoggedGateInDoubt(const fleet& subject, const std::string& entry) {
+  std::istringstream log(subject.DaemonLog(entry));
+  for (std::string line; std::getline(log, line);) {
+    const bool unanswered = line.find("gate does not answer about a request") != std::string::npos;
+    const bool alive = line.find(R"("member_state":"alive")") != std::string::npos;
+    if (unanswered && !alive) return true;
+  }
+  return false;
+}
+
+std::string SuccessWith(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Holds a scripted target until a flag is set, or for so long that the test has failed.
+void AwaitFlag(const std::atomic<bool>& flag) {
+  const auto end = catkinmoor::Now() + std::chrono::seconds(20);
+  while (!flag && catkinmoor::Now() < end) catkinmoor::SleepBetweenPolls();
+}
+
 }  // namespace
 
 Test(serving, with_targets_killed_under_load_runs_no_booking_twice) {
@@ -229,6 +251,43 @@
   Require(subject.WaitForDaemonExit(stopping) == 0);
 }
 
+// An entry that stopped gave up a request when its gate's daemon was suspected and left one query
+// unanswered, although the target behind the gate ran the request to its end.
+Test(serving, at_an_entry_that_stops_waits_for_the_response_behind_a_suspected_gate) {
+  fleet subject({.subnet = 192,
+                 .vms = 2,
+                 .extra_daemon_settings = R"(, "drain_notice_ms": 300, "drain_timeout_ms": 20000)",
+                 .start_targets = false});
+  subject.Start();
+  const std::string stopping = subject.Addresses().front();
+  const std::string gate = subject.Addresses().back();
+  std::atomic<bool> done = false;
+  const catkinmoor::scripted_target target(gate, [&](const std::string& /*head*/) {
+    AwaitFlag(done);
+    return catkinmoor::scripted_target::response{SuccessWith("done"), true};
+  });
+  const std::string single_attempt =
+      R"({"name": "single", "match": {"methods": ["GET"], "prefix": "/running"}, "class": "browse",
+          "repeatable": true, "attempts": 1, "deadline_ms": 20000},)";
+  const auto put = subject.PutDocument(stopping, SlotboardDocument(20'000, single_attempt), 0);
+  Require(put.status == 200, std::to_string(put.status) + " " + put.body);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(stopping, 1);
+  auto running = std::async(std::launch::async,
+                            [&] { return subject.SendToEntry(stopping, "GET", "/running"); });
+  WaitUntil("the target to run the request", [&] { return target.Requests() == 1; });
+  subject.SignalDaemon(gate, SIGSTOP);
+  subject.SignalDaemon(stopping, SIGTERM);
+  WaitUntil("a query of the suspected gate to stay unanswered",
+            [&] { return HasLoggedGateInDoubt(subject, stopping); });
+  done = true;
+  subject.SignalDaemon(gate, SIGCONT);
+  const auto response = running.get();
+  Require(response.status == 200, std::to_string(response.status) + " " + response.body);
+  Require(target.Requests() == 1, std::to_string(target.Requests()));
+  Require(subject.WaitForDaemonExit(stopping) == 0);
+}
+
 Test(serving, at_an_entry_that_stops_under_load_aborts_no_accepted_request) {
   fleet subject({.subnet = 40, .vms = 2});
   StartServing(subject);
