Do not give up a request whose gate is only suspected

What callers saw: 502 "unknown" for a repeatable request that a target was running, mostly at entries that were stopping, and some 500 whose response was thrown away in favour of that of a later attempt.

Cause: ShouldAbandonUnreachable ended the wait when one query of the gate went unanswered and the gate's member was suspected, dead, gone or had another incarnation. All of these are guesses about a daemon that is slow, whose target may be at work. Class: a guess taken for proof.

Change: AssessResponse tells a response that is expected from one in doubt and one that is impossible. Only the gate's own statement that it never will forward the request, or the end of the connection, ends a wait. In doubt, a repeatable request starts a second attempt beside the first, within attempts, deadline and retry budget, and the response that arrives first is delivered; without one it waits to its deadline or to the last moment of a stop. Two replies that the response was sent put it in doubt as well, where they ended the wait before. Attempts therefore run in coroutines of their own, and the dispatcher acts on what becomes of them: one that ends while another goes on in its place starts no third, spends no budget and waits for no query.

--- a/buildscripts/mutants.sh
+++ b/buildscripts/mutants.sh
@@ -41,7 +41,8 @@
 lost-not-run|src/routing/retry_policy.h|s/return state.may_have_run \? next_step::kReportUnknown : next_step::kReportNotRun;/return next_step::kReportNotRun;/|wire_process_test|*/of_a_repeatable*
 neighbours-floor|src/distribution/internal/join_controller.cc|s/const std::size_t contacted = co_await ContactPeers\(std::move\(candidates\)\);/const std::size_t contacted = 3;/; s/std::size_t contacted = co_await ContactPeers\(std::move\(candidates\)\);/std::size_t contacted = 3;/|distribution_process_test|*/*serving_stale_reads*
 unheard|src/distribution/internal/status_controller.cc|s/AddUnresponsive\(report, \*deps_.members.View\(\)\);//|distribution_process_test|*/with_a_daemon_paused*
-silence|src/proxy/internal/attempt_sender.cc|s/wait->gate->stream.cancel\(\);//|links_process_test|*/with_connections_gone*
+silence|src/proxy/internal/attempt_sender.cc|s/      Abort\(\*wait->gate\);//|links_process_test|*/with_connections_gone*
+suspected-gate|src/proxy/internal/wait_policy.cc|s/response_prospect::kExpected : response_prospect::kDoubtful;\n  }/response_prospect::kExpected : response_prospect::kImpossible;\n  }/|serving_process_test|*/at_an_entry_that_stops_waits*
 link-bound|src/admission/internal/admission_queue.cc|s/own_ms <= bound_ms/own_ms <= 1e9/|admission_test|*
 held-once|src/distribution/internal/document_board.cc|s/if \(const auto known = OfferWithoutParsing\(offered, witnessed\)\) return \*known;//|document_board_test|*
 any-host|src/document/internal/document.cc|s/if \(!later.hosts.empty\(\)\) hosts.push_back\(kAnyHost\);//|document_test|*
--- a/src/process_tests/tests/serving_test.cc
+++ b/src/process_tests/tests/serving_test.cc
@@ -288,6 +288,39 @@
   Require(subject.WaitForDaemonExit(stopping) == 0);
 }
 
+// The response of an attempt whose gate stood still for a while was thrown away in favour of that
+// of a later attempt.
+Test(serving, with_two_attempts_in_doubt_delivers_the_response_that_arrives_first) {
+  fleet subject({.subnet = 196, .vms = 3, .start_targets = false});
+  subject.Start();
+  const std::string entry = subject.Addresses().front();
+  std::atomic<int> requests = 0;
+  std::atomic<bool> first_done = false;
+  std::atomic<bool> second_done = false;
+  const auto respond = [&](const std::string& /*head*/) {
+    const bool is_first = ++requests == 1;
+    AwaitFlag(is_first ? first_done : second_done);
+    return catkinmoor::scripted_target::response{SuccessWith(is_first ? "first" : "second"), true};
+  };
+  const std::string gates[] = {subject.Addresses()[1], subject.Addresses()[2]};
+  const catkinmoor::scripted_target targets[] = {{gates[0], respond}, {gates[1], respond}};
+  Require(subject.PutDocument(entry, SlotboardDocument(20'000), 0).status == 200);
+  subject.AwaitInForceEverywhere(1);
+  subject.AwaitTargets(entry, 2);
+  auto running =
+      std::async(std::launch::async, [&] { return subject.SendToEntry(entry, "GET", "/slots"); });
+  WaitUntil("a target to receive the request", [&] { return requests == 1; });
+  const std::string paused = targets[0].Requests() == 1 ? gates[0] : gates[1];
+  subject.SignalDaemon(paused, SIGSTOP);
+  WaitUntil("the other target to receive the request", [&] { return requests == 2; });
+  first_done = true;
+  subject.SignalDaemon(paused, SIGCONT);
+  const auto response = running.get();
+  second_done = true;
+  Require(response.status == 200 && response.body == "first",
+          std::to_string(response.status) + " " + response.body);
+}
+
 Test(serving, at_an_entry_that_stops_under_load_aborts_no_accepted_request) {
   fleet subject({.subnet = 40, .vms = 2});
   StartServing(subject);
--- a/src/proxy/internal/attempt_sender.cc
+++ b/src/proxy/internal/attempt_sender.cc
@@ -8,6 +8,7 @@
 #include "framework/http/response_reader.h"
 #include "framework/logging/log.h"
 #include "proxy/internal/target_responses.h"
+#include "proxy/internal/wait_policy.h"
 
 namespace catkinmoor::proxy_internal {
 namespace {
@@ -53,15 +54,16 @@
   return call.matched_route->latency_objective - spent;
 }
 
-asio::awaitable<request_fate> attempt_sender::QueryGate(member_record target,
-                                                        std::string attempt_id, time_point sent_at,
-                                                        bool except_waiting,
-                                                        milliseconds time_left) {
+asio::awaitable<std::optional<request_fate>> attempt_sender::QueryGate(member_record target,
+                                                                       std::string attempt_id,
+                                                                       time_point sent_at,
+                                                                       bool except_waiting,
+                                                                       milliseconds time_left) {
   const fence_request request{deps_.self.Get().vm, std::move(attempt_id),
                               target.version.incarnation, except_waiting};
   const milliseconds timeout = std::min(settings_.fence_timeout, time_left);
   auto reply = co_await peers_.Fence(target.control, request, timeout);
-  if (!Ok(reply) || Now() - sent_at >= kGateRetention) co_return request_fate::kUnknown;
+  if (!Ok(reply) || Now() - sent_at >= kGateRetention) co_return std::nullopt;
   co_return Value(reply).fate;
 }
 
@@ -86,9 +88,12 @@
           call.key_valid_until};
 }
 
-asio::awaitable<attempt_result> attempt_sender::MakeAttempt(
-    entry_worker_state& worker, caller_session& caller, request_parser& parser,
-    const call_state& call, member_record target, std::string attempt_id) {
+asio::awaitable<attempt_result> attempt_sender::MakeAttempt(entry_worker_state& worker,
+                                                            caller_session& caller,
+                                                            request_parser& parser,
+                                                            const call_state& call,
+                                                            std::shared_ptr<response_wait> wait) {
+  const member_record& target = wait->target;
   attempt_result attempt;
   attempt.gate = worker.pool.TakeIdle(target.gate, settings_.idle_timeout);
   if (attempt.gate == nullptr) {
@@ -101,18 +106,12 @@
     }
     attempt.gate = std::move(Value(opened));
   }
-  if (stop_.AttemptsEnded()) {
-    attempt.outcome = attempt_outcome::kRefused;
-    attempt.reason = kReasonDraining;
-    attempt.failure = {error_kind::kRefused, "entry", "", "the daemon is stopping"};
-    co_return attempt;
-  }
+  if (EndsBeforeSending(*wait, attempt)) co_return attempt;
   deps_.loads.OnRequestStarted(target.vm);
-  const gate_call to_gate = MakeGateCall(call, target, attempt_id);
-  const auto wait =
-      std::make_shared<response_wait>(attempt.gate->stream.get_executor(), target, attempt_id);
+  const gate_call to_gate = MakeGateCall(call, target, wait->attempt_id);
   wait->gate = attempt.gate.get();
-  wait->repeatable = call.matched_route->repeatable && !call.streams_body;
+  wait->active = true;
+  wait->sent_at = Now();
   worker.response_waits.insert(wait.get());
   ScheduleGateQuery(wait, TimeUntil(call.deadline));
   if (call.streams_body) {
@@ -146,7 +145,7 @@
   worker.response_waits.erase(wait.get());
   wait->active = false;
   wait->timer.cancel();
-  if (awaiting_response) ApplyReportedFate(*wait, attempt);
+  if (awaiting_response) ApplyWaitEnd(*wait, attempt);
   deps_.loads.OnRequestEnded(target.vm);
   if (attempt.response != nullptr) co_await ClassifyResponse(worker, target, attempt);
   const bool delivers = attempt.outcome == attempt_outcome::kResponded ||
@@ -156,6 +155,20 @@
   co_return attempt;
 }
 
+bool attempt_sender::EndsBeforeSending(const response_wait& wait, attempt_result& attempt) const {
+  if (wait.superseded) return true;
+  if (!stop_.AttemptsEnded()) return false;
+  attempt.outcome = attempt_outcome::kRefused;
+  attempt.reason = kReasonDraining;
+  attempt.failure = {error_kind::kRefused, "entry", "", "the daemon is stopping"};
+  return true;
+}
+
+void attempt_sender::Supersede(response_wait& wait) {
+  wait.superseded = true;
+  if (wait.active) Abort(*wait.gate);
+}
+
 milliseconds attempt_sender::SilenceCheckDelay(const call_state& call) const {
   // A route's latency objective is an upper bound of its usual response time.
   const milliseconds objective = call.matched_route->latency_objective;
@@ -181,45 +194,37 @@
   bool responded_before = false;
   while (wait->active) {
     const bool stopping = stop_.AttemptsEnded();
-    const request_fate fate = co_await QueryGate(target, wait->attempt_id, wait->sent_at, !stopping,
-                                                 settings_.fence_timeout);
+    const std::optional<request_fate> reply = co_await QueryGate(
+        target, wait->attempt_id, wait->sent_at, !stopping, settings_.fence_timeout);
     if (!wait->active) co_return;
-    const bool responded = fate == request_fate::kResponded;
-    // The response may have been in transit at the first query, so a second one must confirm it.
-    if (fate == request_fate::kNeverForwarded || (responded && responded_before)) {
-      wait->fate = fate;
+    const member_ptr present = deps_.members.Find(target.vm);
+    if (!reply) LogUnansweredQuery(*wait, present.get(), stopping);
+    const response_prospect prospect =
+        AssessResponse({reply, responded_before, present.get(), target.version.incarnation});
+    if (prospect == response_prospect::kImpossible) {
+      wait->never_forwarded = true;
       wait->ended_by_stop = stopping;
       Abort(*wait->gate);
       co_return;
     }
-    const member_ptr current = deps_.members.Find(target.vm);
-    if (fate == request_fate::kUnknown) LogUnansweredQuery(*wait, current.get(), stopping);
-    if (fate == request_fate::kUnknown &&
-        ShouldAbandonUnreachable(wait->repeatable, current.get(), target.version.incarnation)) {
-      wait->gate_unreachable = true;
-      Abort(*wait->gate);
-      co_return;
+    if (prospect == response_prospect::kDoubtful && !wait->in_doubt) {
+      wait->in_doubt = true;
+      wait->gate_replies = reply.has_value();
+      if (wait->on_doubt) wait->on_doubt();
     }
-    responded_before = responded;
+    responded_before = reply == request_fate::kResponded;
     if (!stopping && stop_.AttemptsEnded()) continue;
     wait->timer.expires_after(settings_.silence_check_interval);
     co_await wait->timer.async_wait(kAwait);
   }
 }
 
-void attempt_sender::ApplyReportedFate(const response_wait& wait, attempt_result& attempt) {
-  if (wait.gate_unreachable && attempt.response == nullptr) {
-    attempt.connection_silent = true;
-    attempt.caller_disconnected = false;
-    attempt.gate_queried = true;
-    attempt.reason = "unheard";
-  }
-  const bool has_fate = wait.fate != request_fate::kUnknown;
-  if (attempt.response != nullptr || (!has_fate && !wait.ended_by_stop)) return;
+void attempt_sender::ApplyWaitEnd(const response_wait& wait, attempt_result& attempt) {
+  if (attempt.response != nullptr || (!wait.never_forwarded && !wait.ended_by_stop)) return;
   attempt.connection_silent = !wait.ended_by_stop;
   attempt.gate_queried = true;
   attempt.caller_disconnected = false;
-  if (wait.fate == request_fate::kNeverForwarded) attempt.outcome = attempt_outcome::kFenced;
+  if (wait.never_forwarded) attempt.outcome = attempt_outcome::kFenced;
   attempt.reason = wait.ended_by_stop ? kReasonDraining : "silent";
 }
 
--- a/src/proxy/internal/attempt_sender.h
+++ b/src/proxy/internal/attempt_sender.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <memory>
+#include <optional>
+
 #include "peer/peer_transport.h"
 #include "proxy/entry_proxy.h"
 #include "proxy/internal/entry/caller_session.h"
@@ -16,14 +19,21 @@
       : deps_(dependencies), peers_(peers), settings_(settings), stop_(stop) {}
 
   /// Queries the gate over another connection about the fate of an attempt. This also fences the
-  /// attempt, unless it is waiting and except_waiting is set.
-  asio::awaitable<request_fate> QueryGate(member_record target, std::string attempt_id,
-                                          time_point sent_at, bool except_waiting,
-                                          milliseconds time_left);
-
+  /// attempt, unless it is waiting and except_waiting is set. Returns nothing if no reply arrived
+  /// in time or the reply cannot be relied on.
+  asio::awaitable<std::optional<request_fate>> QueryGate(member_record target,
+                                                         std::string attempt_id, time_point sent_at,
+                                                         bool except_waiting,
+                                                         milliseconds time_left);
+
+  /// Makes the attempt that the wait describes, and calls its on_doubt once if it becomes doubtful
+  /// that a response will arrive. The attempt goes on meanwhile.
   asio::awaitable<attempt_result> MakeAttempt(entry_worker_state& worker, caller_session& caller,
                                               request_parser& parser, const call_state& call,
-                                              member_record target, std::string attempt_id);
+                                              std::shared_ptr<response_wait> wait);
+
+  /// Ends an attempt whose response is not needed any more.
+  static void Supersede(response_wait& wait);
 
   /// Reads a response that is not delivered to its end, and returns its connection to the pool if
   /// it can be reused.
@@ -45,7 +55,11 @@
 
   asio::awaitable<void> QueryGateWhileSilent(std::shared_ptr<response_wait> wait);
 
-  static void ApplyReportedFate(const response_wait& wait, attempt_result& attempt);
+  /// Whether an attempt must end before anything is sent; sets its outcome then.
+  bool EndsBeforeSending(const response_wait& wait, attempt_result& attempt) const;
+
+  /// Sets the outcome of an attempt whose wait was ended without a response.
+  static void ApplyWaitEnd(const response_wait& wait, attempt_result& attempt);
 
   /// Sends a request whose body is buffered.
   asio::awaitable<void> SendBuffered(request_parser& parser, const call_state& call,
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -1,5 +1,8 @@
 #include "proxy/internal/call_dispatcher.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
@@ -7,7 +10,6 @@
 #include "framework/logging/log.h"
 #include "proxy/internal/key_admission.h"
 #include "proxy/internal/target_responses.h"
-#include "proxy/internal/version_evidence.h"
 #include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor::proxy_internal {
@@ -45,19 +47,19 @@
 }
 
 /// Logs why an attempt yielded no response to deliver, and the next step.
-void LogAttempt(const call_state& call, const member_record& target, const std::string& attempt_id,
-                const attempt_result& attempt, next_step next, const target_load& load,
-                time_point sent_at) {
-  const auto age = std::chrono::duration_cast<milliseconds>(sent_at - load.reported_at);
+void LogAttempt(const call_state& call, const dispatched_attempt& attempt, next_step next) {
+  const target_load& load = attempt.load;
+  const attempt_result& result = attempt.result;
+  const auto age = std::chrono::duration_cast<milliseconds>(attempt.chosen_at - load.reported_at);
   const bool reported = load.reported_at != time_point{};
   logging::Info("attempt failed", {{"request", call.request_id},
-                                   {"attempt", attempt_id},
-                                   {"vm", target.vm},
-                                   {"instance", target.target->instance},
-                                   {"outcome", OutcomeName(attempt.outcome)},
-                                   {"reason", attempt.reason},
-                                   {"step", attempt.failure.step},
-                                   {"message", attempt.failure.message},
+                                   {"attempt", attempt.wait->attempt_id},
+                                   {"vm", attempt.Target().vm},
+                                   {"instance", attempt.Target().target->instance},
+                                   {"outcome", OutcomeName(result.outcome)},
+                                   {"reason", result.reason},
+                                   {"step", result.failure.step},
+                                   {"message", result.failure.message},
                                    {"next", StepName(next)},
                                    {"load_in_use", static_cast<std::int64_t>(load.reported.in_use)},
                                    {"load_queued", static_cast<std::int64_t>(load.reported.queued)},
@@ -65,15 +67,17 @@
                                    {"version", DocumentVersion(call)}});
 }
 
-/// An attempt that a target failed with a response of its own, kept in case no other target
-/// succeeds.
-struct deferred_failure {
-  deferred_failure(attempt_result failed, member_record failed_target)
-      : attempt(std::move(failed)), target(std::move(failed_target)) {}
-
-  attempt_result attempt;
-  member_record target;
-};
+/// Logs what follows from the doubt about an attempt's response.
+void LogDoubt(const call_state& call, const dispatched_attempt& attempt, next_step next) {
+  const auto waited = std::chrono::duration_cast<milliseconds>(Now() - attempt.wait->sent_at);
+  logging::Info("response in doubt", {{"request", call.request_id},
+                                      {"attempt", attempt.wait->attempt_id},
+                                      {"vm", attempt.Target().vm},
+                                      {"gate_replies", attempt.wait->gate_replies},
+                                      {"waited_ms", waited.count()},
+                                      {"next", next == next_step::kRetry ? StepName(next) : "wait"},
+                                      {"version", DocumentVersion(call)}});
+}
 
 cost_key CostKeyOf(const call_state& call) {
   return {call.matched_route->name,
@@ -81,6 +85,17 @@
           call.body.size()};
 }
 
+/// Whether the request has crashed so many targets that it is not given to another one.
+bool IsPoison(const dispatched_call& dispatched) {
+  return dispatched.crashes >= quarantine_board::kCrashThreshold;
+}
+
+/// Whether an attempt is under way whose response is expected.
+bool HasAttemptWithoutDoubt(const dispatched_call& dispatched) {
+  return std::any_of(dispatched.running.begin(), dispatched.running.end(),
+                     [](const auto& each) { return !each->wait->in_doubt; });
+}
+
 /// A local response to a request that may have run.
 local_response UnknownResponse(const call_state& call, error failure) {
   const unsigned status = Now() >= call.deadline ? kGatewayTimeout : kBadGateway;
@@ -102,121 +117,269 @@
 
 asio::awaitable<bool> call_dispatcher::Dispatch(entry_worker_state& worker, caller_session& caller,
                                                 request_parser& parser, call_state& call) {
-  const document& content = call.document->content;
-  deps_.budget.OnFirstAttempt(call.service, content.retry_budget, call.started);
-  selection_context context = MakeSelectionContext();
-  context.cost = deps_.loads.Costs().Estimate(CostKeyOf(call));
-  attempt_state state{.attempts_made = 0};
-  std::size_t crashes = 0;
-  std::optional<deferred_failure> deferred;
-  local_response fallback =
-      NotRunResponse(503, "no-target", "pick target", "no target is available for this route");
+  deps_.budget.OnFirstAttempt(call.service, call.document->content.retry_budget, call.started);
+  dispatched_call dispatched(worker, caller, parser, call, MakeSelectionContext(call));
+  dispatched_attempt_ptr chosen = co_await MakeAttempts(dispatched);
+  SupersedeOthers(dispatched);
+  bool keep_open = false;
+  if (!dispatched.caller_left) keep_open = co_await Respond(dispatched, std::move(chosen));
+  co_await AwaitEndOfAll(dispatched);
+  co_return keep_open;
+}
+
+asio::awaitable<dispatched_attempt_ptr> call_dispatcher::MakeAttempts(dispatched_call& dispatched) {
+  next_step next = next_step::kRetry;
   for (;;) {
-    context.now = Now();
-    context.spent = std::chrono::duration_cast<milliseconds>(context.now - call.started);
-    const auto eligible = RestrictVersions(
-        deps_.versions, call, state.attempts_made == 0,
-        EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service)));
-    const member_ptr target =
-        PickTarget(eligible, content, *call.matched_route, context, deps_.loads, worker.random);
-    const target_load load = target == nullptr ? target_load{} : deps_.loads.Get(target->vm);
-    const bool outlasts_stop = target != nullptr && WillOutlastStop(call, load);
-    if (outlasts_stop) {
-      fallback = NotRunResponse(503, kReasonDraining, "pick target",
-                                "the daemon stops before a response is expected");
-    }
-    if (target == nullptr || outlasts_stop) {
-      if (FinalStep(state) == next_step::kReportUnknown)
-        fallback = UnknownResponse(call, std::move(fallback.failure));
-      break;
-    }
-    if (auto refused = RenewKey(deps_, call)) {
-      fallback = std::move(*refused);
-      if (FinalStep(state) == next_step::kReportUnknown)
-        fallback = UnknownResponse(call, std::move(fallback.failure));
-      break;
-    }
-    context.tried_vms.insert(target->vm);
-    // The caller may have disconnected before its request was read or between two attempts.
-    const bool caller_left = caller.IsClosed() || IsClosed(caller.Caller());
-    if (!call.streams_body && caller_left) {
-      CountMetric("catkinmoor_callers_gone_total", call);
-      co_return false;
-    }
-    ++state.attempts_made;
-    if (state.attempts_made > 1) CountMetric("catkinmoor_retries_total", call);
-    const std::string attempt_id = RandomId();
-    const time_point sent_at = Now();
-    auto evidence = BeginEvidence(deps_.versions, call, *target);
-    attempt_result attempt =
-        co_await sender_.MakeAttempt(worker, caller, parser, call, *target, attempt_id);
-    if (attempt.caller_disconnected) co_return false;
-    RecordLoad(call, *target, attempt);
-    if (attempt.connection_silent) {
-      // The target itself may be healthy, so it may be tried again over a new connection.
-      CountMetric("catkinmoor_silent_connections_total", call);
-      worker.pool.CloseIdle(target->gate);
-      context.tried_vms.erase(target->vm);
-    }
-    state.body_replayable = state.body_replayable && !attempt.body_consumed;
-    state.gate_queried = attempt.gate_queried;
-    if (attempt.reason == kReasonTargetCrashed) ++crashes;
-    next_step next = DecideNextStep(call, state, attempt.outcome);
-    // A request that has crashed two targets is not tried on a third.
-    const bool is_poison = crashes >= quarantine_board::kCrashThreshold;
-    if (is_poison && next == next_step::kRetry) next = next_step::kReportUnknown;
-    if (next == next_step::kQueryGate) {
-      CountMetric("catkinmoor_fences_total", call);
-      const request_fate fate =
-          co_await sender_.QueryGate(*target, attempt_id, sent_at, false, TimeLeft(call));
-      state.gate_queried = true;
-      if (fate == request_fate::kNeverForwarded) attempt.outcome = attempt_outcome::kFenced;
-      next = DecideNextStep(call, state, attempt.outcome);
+    if (next == next_step::kRetry) StartAttempt(dispatched);
+    if (dispatched.caller_left || dispatched.running.empty()) co_return nullptr;
+    // A failure that can be delivered is not held back for responses in doubt.
+    if (dispatched.failed != nullptr && !HasAttemptWithoutDoubt(dispatched)) co_return nullptr;
+    dispatched_attempt_ptr attempt = co_await AwaitChange(dispatched);
+    if (!attempt->ended) {
+      next = DecideInDoubt(dispatched, *attempt);
+      continue;
     }
-    RecordEvidence(evidence, attempt, sent_at);
-    if (next == next_step::kDeliverResponse) {
-      if (deferred) co_await sender_.DiscardResponse(worker, deferred->target, deferred->attempt);
-      co_return co_await DeliverResponse(worker, caller, parser, call, std::move(context), *target,
-                                         std::move(attempt));
+    next = co_await DecideAfterEnd(dispatched, *attempt);
+    if (next == next_step::kDeliverResponse) co_return attempt;
+    if (attempt->result.outcome == attempt_outcome::kFailureResponse) dispatched.failed = attempt;
+  }
+}
+
+void call_dispatcher::StartAttempt(dispatched_call& dispatched) {
+  const call_state& call = dispatched.call;
+  const member_ptr target = ChooseTarget(dispatched);
+  if (target == nullptr) {
+    attempt_state state = dispatched.attempts;
+    state.may_have_run = state.may_have_run || !dispatched.running.empty();
+    if (FinalStep(state) == next_step::kReportUnknown) {
+      dispatched.fallback = UnknownResponse(call, std::move(dispatched.fallback.failure));
     }
-    LogAttempt(call, *target, attempt_id, attempt, next, load, sent_at);
-    const bool failed = attempt.outcome == attempt_outcome::kFailureResponse;
-    state.may_have_run = state.may_have_run || failed || attempt.outcome == attempt_outcome::kLost;
-    if (failed) {
-      deferred.emplace(std::move(attempt), *target);
-      continue;
+    return;
+  }
+  dispatched.context.tried_vms.insert(target->vm);
+  // The caller may have disconnected before its request was read or between two attempts.
+  caller_session& caller = dispatched.caller;
+  if (!call.streams_body && (caller.IsClosed() || IsClosed(caller.Caller()))) {
+    CountMetric("catkinmoor_callers_gone_total", call);
+    dispatched.caller_left = true;
+    return;
+  }
+  ++dispatched.attempts.attempts_made;
+  if (dispatched.attempts.attempts_made > 1) CountMetric("catkinmoor_retries_total", call);
+  if (!dispatched.running.empty()) CountMetric("catkinmoor_parallel_attempts_total", call);
+  const auto executor = caller.Caller().stream.get_executor();
+  const auto wait = std::make_shared<response_wait>(executor, *target, RandomId());
+  const auto attempt = std::make_shared<dispatched_attempt>(
+      wait, deps_.loads.Get(target->vm), BeginEvidence(deps_.versions, call, *target));
+  if (!call.streams_body) {
+    wait->on_doubt = [&dispatched] { dispatched.changed.cancel(); };
+  }
+  dispatched.running.push_back(attempt);
+  asio::co_spawn(executor, RunAttempt(this, &dispatched, caller.shared_from_this(), attempt),
+                 asio::detached);
+}
+
+member_ptr call_dispatcher::ChooseTarget(dispatched_call& dispatched) {
+  call_state& call = dispatched.call;
+  const document& content = call.document->content;
+  selection_context& context = dispatched.context;
+  context.now = Now();
+  context.spent = std::chrono::duration_cast<milliseconds>(context.now - call.started);
+  const auto eligible =
+      RestrictVersions(deps_.versions, call, dispatched.attempts.attempts_made == 0,
+                       EligibleTargets(content, call.split, deps_.members.TargetsOf(call.service)));
+  member_ptr target = PickTarget(eligible, content, *call.matched_route, context, deps_.loads,
+                                 dispatched.worker.random);
+  if (target == nullptr) return nullptr;
+  if (WillOutlastStop(call, deps_.loads.Get(target->vm))) {
+    dispatched.fallback = NotRunResponse(503, kReasonDraining, "pick target",
+                                         "the daemon stops before a response is expected");
+    return nullptr;
+  }
+  if (auto refused = RenewKey(deps_, call)) {
+    dispatched.fallback = std::move(*refused);
+    return nullptr;
+  }
+  return target;
+}
+
+asio::awaitable<void> call_dispatcher::RunAttempt(call_dispatcher* self,
+                                                  dispatched_call* dispatched,
+                                                  std::shared_ptr<caller_session> session,
+                                                  dispatched_attempt_ptr attempt) {
+  attempt_result result = co_await self->sender_.MakeAttempt(
+      dispatched->worker, *session, dispatched->parser, dispatched->call, attempt->wait);
+  // The call may have been answered, and be gone, while the attempt was still connecting.
+  if (attempt->wait->superseded && !attempt->wait->IsSent()) co_return;
+  attempt->result = std::move(result);
+  attempt->ended = true;
+  dispatched->changed.cancel();
+}
+
+asio::awaitable<dispatched_attempt_ptr> call_dispatcher::AwaitChange(dispatched_call& dispatched) {
+  auto& running = dispatched.running;
+  const auto has_response = [](const dispatched_attempt_ptr& each) {
+    return each->ended && each->result.outcome == attempt_outcome::kResponded;
+  };
+  const auto has_ended = [](const dispatched_attempt_ptr& each) { return each->ended; };
+  const auto has_new_doubt = [](const dispatched_attempt_ptr& each) {
+    return each->wait->in_doubt && !each->doubt_handled;
+  };
+  for (;;) {
+    auto found = std::find_if(running.begin(), running.end(), has_response);
+    if (found == running.end()) found = std::find_if(running.begin(), running.end(), has_ended);
+    if (found != running.end()) {
+      dispatched_attempt_ptr ended = *found;
+      running.erase(found);
+      co_return ended;
     }
-    if (next == next_step::kReportUnknown) {
-      fallback = UnknownResponse(call, std::move(attempt.failure));
-      if (attempt.reason == kReasonDeadline) fallback.status = kGatewayTimeout;
-      break;
+    found = std::find_if(running.begin(), running.end(), has_new_doubt);
+    if (found != running.end()) {
+      (*found)->doubt_handled = true;
+      co_return *found;
     }
-    const std::string reason = attempt.reason.empty() ? "not-reached" : attempt.reason;
-    fallback = {503, kOutcomeNotRun, reason, std::move(attempt.failure), attempt.retry_after};
-    if (next == next_step::kReportNotRun) break;
+    co_await dispatched.changed.async_wait(kAwait);
+  }
+}
+
+next_step call_dispatcher::DecideInDoubt(dispatched_call& dispatched,
+                                         const dispatched_attempt& attempt) {
+  const member_record& target = attempt.Target();
+  dispatched.worker.pool.CloseIdle(target.gate);
+  if (attempt.wait->gate_replies) {
+    // The target itself may be healthy, so it may be tried again over a new connection.
+    CountMetric("catkinmoor_silent_connections_total", dispatched.call);
+    dispatched.context.tried_vms.erase(target.vm);
+  } else {
+    deps_.loads.OnConnectionFailure(target.vm, Now());
   }
-  if (deferred) {
+  attempt_state state = dispatched.attempts;
+  state.outcome = attempt_outcome::kLost;
+  state.gate_queried = true;
+  const next_step next =
+      IsPoison(dispatched) ? next_step::kReportUnknown : DecideNextStep(dispatched, state);
+  LogDoubt(dispatched.call, attempt, next);
+  return next;
+}
+
+asio::awaitable<next_step> call_dispatcher::DecideAfterEnd(dispatched_call& dispatched,
+                                                           dispatched_attempt& attempt) {
+  const call_state& call = dispatched.call;
+  const member_record& target = attempt.Target();
+  attempt_result& result = attempt.result;
+  attempt_state& state = dispatched.attempts;
+  if (result.caller_disconnected) {
+    dispatched.caller_left = true;
+    co_return next_step::kReportUnknown;
+  }
+  // An unanswered query counted as a failed connection when it put the response in doubt.
+  const bool counted_as_failed = result.outcome == attempt_outcome::kLost &&
+                                 attempt.doubt_handled && !attempt.wait->gate_replies;
+  if (!counted_as_failed) RecordLoad(call, target, result);
+  if (result.connection_silent) {
+    // The target itself may be healthy, so it may be tried again over a new connection.
+    CountMetric("catkinmoor_silent_connections_total", call);
+    dispatched.worker.pool.CloseIdle(target.gate);
+    dispatched.context.tried_vms.erase(target.vm);
+  }
+  state.outcome = result.outcome;
+  state.body_replayable = state.body_replayable && !result.body_consumed;
+  state.gate_queried = result.gate_queried;
+  if (result.reason == kReasonTargetCrashed) ++dispatched.crashes;
+  // An attempt started beside this one goes on in its place.
+  const bool replaced =
+      result.outcome != attempt_outcome::kResponded && HasAttemptWithoutDoubt(dispatched);
+  next_step next = replaced ? next_step::kReportUnknown : DecideNextStep(dispatched, state);
+  // A request that has crashed two targets is not tried on a third.
+  if (IsPoison(dispatched) && next == next_step::kRetry) next = next_step::kReportUnknown;
+  if (next == next_step::kQueryGate) {
+    // The query would delay the response of another attempt.
+    const bool alone = dispatched.running.empty();
+    next = next_step::kReportUnknown;
+    if (alone) next = co_await DecideByGate(dispatched, attempt);
+  }
+  RecordEvidence(attempt.evidence, result, attempt.chosen_at);
+  if (next == next_step::kDeliverResponse) co_return next;
+  LogAttempt(call, attempt, next);
+  const bool failed = result.outcome == attempt_outcome::kFailureResponse;
+  state.may_have_run = state.may_have_run || failed || result.outcome == attempt_outcome::kLost;
+  if (failed) co_return next;
+  if (next == next_step::kReportUnknown) {
+    dispatched.fallback = UnknownResponse(call, std::move(result.failure));
+    if (result.reason == kReasonDeadline) dispatched.fallback.status = kGatewayTimeout;
+    co_return next;
+  }
+  const std::string reason = result.reason.empty() ? "not-reached" : result.reason;
+  dispatched.fallback = {503, kOutcomeNotRun, reason, std::move(result.failure),
+                         result.retry_after};
+  co_return next;
+}
+
+asio::awaitable<next_step> call_dispatcher::DecideByGate(dispatched_call& dispatched,
+                                                         dispatched_attempt& attempt) {
+  const call_state& call = dispatched.call;
+  CountMetric("catkinmoor_fences_total", call);
+  const std::optional<request_fate> fate = co_await sender_.QueryGate(
+      attempt.Target(), attempt.wait->attempt_id, attempt.chosen_at, false, TimeLeft(call));
+  if (fate == request_fate::kNeverForwarded) attempt.result.outcome = attempt_outcome::kFenced;
+  attempt_state& state = dispatched.attempts;
+  state.gate_queried = true;
+  state.outcome = attempt.result.outcome;
+  co_return DecideNextStep(dispatched, state);
+}
+
+void call_dispatcher::SupersedeOthers(dispatched_call& dispatched) {
+  std::erase_if(dispatched.running, [](const dispatched_attempt_ptr& each) {
+    if (!each->ended) attempt_sender::Supersede(*each->wait);
+    // An attempt that still connects sends nothing any more, and uses the call no further.
+    return each->ended || !each->wait->IsSent();
+  });
+}
+
+asio::awaitable<void> call_dispatcher::AwaitEndOfAll(dispatched_call& dispatched) {
+  while (!dispatched.running.empty()) {
+    std::erase_if(dispatched.running, [](const auto& each) { return each->ended; });
+    if (dispatched.running.empty()) co_return;
+    co_await dispatched.changed.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<bool> call_dispatcher::Respond(dispatched_call& dispatched,
+                                               dispatched_attempt_ptr chosen) {
+  entry_worker_state& worker = dispatched.worker;
+  dispatched_attempt_ptr failed = std::move(dispatched.failed);
+  if (chosen == nullptr && failed == nullptr) {
+    co_return co_await RespondLocally(dispatched.caller, dispatched.parser, dispatched.call,
+                                      std::move(dispatched.fallback));
+  }
+  if (chosen == nullptr) {
     // No later attempt succeeded, so the target's failure is delivered.
-    co_return co_await DeliverResponse(worker, caller, parser, call, std::move(context),
-                                       deferred->target, std::move(deferred->attempt));
+    chosen = std::move(failed);
+  } else if (failed != nullptr) {
+    co_await sender_.DiscardResponse(worker, failed->Target(), failed->result);
   }
-  co_return co_await RespondLocally(caller, parser, call, std::move(fallback));
+  co_return co_await DeliverResponse(worker, dispatched.caller, dispatched.parser, dispatched.call,
+                                     std::move(dispatched.context), chosen->Target(),
+                                     std::move(chosen->result));
 }
 
-next_step call_dispatcher::DecideNextStep(const call_state& call, attempt_state state,
-                                          attempt_outcome outcome) {
-  state.outcome = outcome;
+next_step call_dispatcher::DecideNextStep(const dispatched_call& dispatched, attempt_state state) {
+  const call_state& call = dispatched.call;
   state.time_left = stop_.AttemptsEnded() ? milliseconds(0) : TimeLeft(call);
-  const retry_kind kind =
-      outcome == attempt_outcome::kRefusedOverload ? retry_kind::kNotRun : retry_kind::kMayHaveRun;
+  state.may_have_run = state.may_have_run || !dispatched.running.empty();
+  const retry_kind kind = state.outcome == attempt_outcome::kRefusedOverload
+                              ? retry_kind::kNotRun
+                              : retry_kind::kMayHaveRun;
   return DecideNext(*call.matched_route, state, [&] {
     return deps_.budget.TryTake(call.service, call.document->content.retry_budget, kind, Now());
   });
 }
 
-selection_context call_dispatcher::MakeSelectionContext() const {
+selection_context call_dispatcher::MakeSelectionContext(const call_state& call) const {
   const member_record self = deps_.self.Get();
-  return {self.vm, self.region, self.data_centre, {}, Now(), UnixMilliseconds()};
+  selection_context context{self.vm, self.region, self.data_centre, {}, Now(), UnixMilliseconds()};
+  context.cost = deps_.loads.Costs().Estimate(CostKeyOf(call));
+  return context;
 }
 
 void call_dispatcher::RecordLoad(const call_state& call, const member_record& target,
@@ -352,8 +515,11 @@
     if (target == nullptr || RenewKey(deps_, call)) break;
     context.tried_vms.insert(target->vm);
     call.resume_offset = writer.body_bytes;
-    attempt_result attempt =
-        co_await sender_.MakeAttempt(worker, caller, parser, call, *target, RandomId());
+    const auto wait =
+        std::make_shared<response_wait>(caller.Caller().stream.get_executor(), *target, RandomId());
+    // The rest is fetched from another target instead of being awaited.
+    wait->on_doubt = [doubtful = wait.get()] { attempt_sender::Supersede(*doubtful); };
+    attempt_result attempt = co_await sender_.MakeAttempt(worker, caller, parser, call, wait);
     if (attempt.caller_disconnected) co_return transfer_outcome::kWriteFailed;
     if (!IsContinuation(attempt, call)) continue;
     CountMetric("catkinmoor_resumed_downloads_total", call);
--- a/src/proxy/internal/call_dispatcher.h
+++ b/src/proxy/internal/call_dispatcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <atomic>
+#include <memory>
 
 #include "proxy/internal/attempt_sender.h"
+#include "proxy/internal/dispatched_call.h"
 #include "routing/target_selector.h"
 
 namespace catkinmoor::proxy_internal {
@@ -35,9 +37,41 @@
   /// Whether a target usually takes longer than a planned stop leaves for its response.
   bool WillOutlastStop(const call_state& call, const target_load& load) const;
 
-  next_step DecideNextStep(const call_state& call, attempt_state state, attempt_outcome outcome);
+  /// Makes attempts until one yields a response to deliver. Returns null if none does; the call
+  /// then has a failed attempt or a local response to deliver, or the caller has left.
+  asio::awaitable<dispatched_attempt_ptr> MakeAttempts(dispatched_call& dispatched);
 
-  selection_context MakeSelectionContext() const;
+  /// Chooses a target and starts an attempt. If there is no target, the fallback states why.
+  void StartAttempt(dispatched_call& dispatched);
+
+  /// Chooses the target of the next attempt. Returns null, and sets the fallback, if there is none.
+  member_ptr ChooseTarget(dispatched_call& dispatched);
+
+  /// Runs an attempt to its end. It holds the session, which it may watch until it is destroyed.
+  static asio::awaitable<void> RunAttempt(call_dispatcher* self, dispatched_call* dispatched,
+                                          std::shared_ptr<caller_session> session,
+                                          dispatched_attempt_ptr attempt);
+
+  /// Waits until an attempt has ended or its response has become doubtful.
+  static asio::awaitable<dispatched_attempt_ptr> AwaitChange(dispatched_call& dispatched);
+
+  /// Decides what follows an attempt that has ended.
+  asio::awaitable<next_step> DecideAfterEnd(dispatched_call& dispatched,
+                                            dispatched_attempt& attempt);
+
+  /// Decides whether to start an attempt beside one whose response is in doubt.
+  next_step DecideInDoubt(dispatched_call& dispatched, const dispatched_attempt& attempt);
+
+  /// Queries the gate of a lost attempt, which thereby counts as fenced if it was not forwarded.
+  asio::awaitable<next_step> DecideByGate(dispatched_call& dispatched, dispatched_attempt& attempt);
+
+  /// Ends the attempts whose responses are not needed any more.
+  static void SupersedeOthers(dispatched_call& dispatched);
+  static asio::awaitable<void> AwaitEndOfAll(dispatched_call& dispatched);
+
+  next_step DecideNextStep(const dispatched_call& dispatched, attempt_state state);
+
+  selection_context MakeSelectionContext(const call_state& call) const;
 
   void RecordLoad(const call_state& call, const member_record& target,
                   const attempt_result& attempt);
@@ -48,6 +82,9 @@
                                         selection_context context, member_record target,
                                         attempt_result attempt);
 
+  /// Delivers the response of an attempt, or a local one if there is none.
+  asio::awaitable<bool> Respond(dispatched_call& dispatched, dispatched_attempt_ptr chosen);
+
   /// Whether the rest of a response may be fetched from another target. That takes a complete (not
   /// partial) response of known length to a repeatable request, with a strong entity tag, which
   /// guarantees that the other target's bytes are the same.
--- a/src/proxy/internal/entry_call.h
+++ b/src/proxy/internal/entry_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <random>
 #include <set>
@@ -50,26 +51,34 @@
   bool keep_alive = true;
 };
 
-/// A wait for a gate's response, shared with the coroutine that checks on the request meanwhile.
+/// A wait for a gate's response, shared by the coroutine of the attempt, the one that checks on the
+/// request meanwhile, and the dispatcher, which may end the wait. All run on one worker's thread.
 struct response_wait {
   response_wait(const asio::any_io_executor& executor, member_record asked_target, std::string id)
       : timer(executor), target(std::move(asked_target)), attempt_id(std::move(id)) {}
 
+  bool IsSent() const { return gate != nullptr; }
+
   /// Expires when the gate is to be queried.
   asio::steady_timer timer;
   member_record target;
   std::string attempt_id;
   time_point sent_at = Now();
+  /// The connection that the request is sent on; null before. Valid while the wait is active.
   connection* gate = nullptr;
-  bool active = true;
+  bool active = false;
   bool is_querying_gate = false;
   /// Whether a planned stop of the daemon has ended the wait.
   bool ended_by_stop = false;
-  request_fate fate = request_fate::kUnknown;
-  /// Whether the request may be run again from the start.
-  bool repeatable = false;
-  /// Whether the gate cannot be queried and its daemon is known to be gone.
-  bool gate_unreachable = false;
+  /// Whether the response is not needed any more.
+  bool superseded = false;
+  /// Whether the gate has stated that it will never forward the request.
+  bool never_forwarded = false;
+  /// Whether it is doubtful that a response will arrive. on_doubt is called when that is found.
+  bool in_doubt = false;
+  std::function<void()> on_doubt;
+  /// Whether the gate replied to the query that raised the doubt.
+  bool gate_replies = false;
   /// State of the gate's member when an unanswered query was last logged.
   std::string logged_member_state;
 };
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -40,17 +40,6 @@
 /// Maximum attempts in total when the latest one provably did not run the request.
 inline constexpr std::int64_t kMaxAttemptsIfNotRun = 4;
 
-/// Whether to give up an attempt whose gate did not respond to a fence request. The target of a
-/// gate that is only slow may still be running the request, so the gate's daemon must no longer be
-/// alive in the member table, or must have been restarted with another incarnation.
-inline bool ShouldAbandonUnreachable(bool repeatable, const member_record* present,
-                                     std::uint64_t asked_incarnation) {
-  if (!repeatable) return false;
-  if (present == nullptr) return true;
-  return present->version.state != member_state::kAlive ||
-         present->version.incarnation != asked_incarnation;
-}
-
 /// The outcome to report when no further attempt is made. That the latest attempt did not run the
 /// request does not exclude that an earlier lost one did.
 inline next_step FinalStep(const attempt_state& state) {
