Answer pipelined requests that run before a stop closes their connection

What callers saw: a daemon that stops closed the connection after its next response, and requests sent behind it that targets were running ended without an answer.

Cause: the response after the begin of the drain said "Connection: close" whatever was unanswered behind it, and the end of the session cancelled those attempts. Local responses without a body to discard closed the connection in the last phase of a stop as well.

Change: while the daemon stops, a response keeps the connection open as long as requests behind it have been taken. Nothing further is read from the connection; the response to the last one closes it.

--- a/src/process_tests/tests/wire_test.cc
+++ b/src/process_tests/tests/wire_test.cc
@@ -640,6 +640,39 @@
   Require(posts == 0, std::to_string(posts.load()));
 }
 
+// A daemon that stopped closed the connection after its next response, so that requests behind it
+// that targets were running ended without an answer.
+Test(wire, with_pipelined_requests_at_a_daemon_that_stops_answers_all_that_run) {
+  fleet subject({.subnet = 16,
+                 .vms = 1,
+                 .extra_daemon_settings = R"(, "drain_notice_ms": 100, "drain_timeout_ms": 20000)",
+                 .start_targets = false});
+  const std::string address = subject.Addresses().front();
+  std::atomic<int> arrived = 0;
+  std::atomic<bool> draining = false;
+  const scripted_target target(address, [&](const std::string& head) {
+    if (PathOf(head) == "/other") return TextResponse("/other");
+    ++arrived;
+    const auto end = catkinmoor::Now() + std::chrono::seconds(20);
+    while (!draining && catkinmoor::Now() < end) catkinmoor::SleepBetweenPolls();
+    scripted_target::response response = TextResponse(PathOf(head));
+    // The first is answered while the others run.
+    if (PathOf(head) != "/first") response.delay_ms = 300;
+    return response;
+  });
+  StartWithDocument(subject, SlotboardDocument(20'000));
+  raw_connection caller(address, kEntryPort);
+  caller.Send(GetRequest("/first") + GetRequest("/second") + GetRequest("/third"));
+  catkinmoor::WaitUntil("all requests at the target", [&] { return arrived == 3; });
+  subject.SignalDaemon(address, SIGTERM);
+  catkinmoor::WaitUntil("the daemon to accept no connection",
+                        [&] { return subject.SendToEntry(address, "GET", "/other").status == 0; });
+  draining = true;
+  const std::string responses = caller.ReceiveUntil("\r\n\r\n/third");
+  Require(OccurInOrder(responses, {"/first", "/second", "Connection: close", "/third"}), responses);
+  Require(subject.WaitForDaemonExit(address) == 0);
+}
+
 // Guards against a head that is no request being answered ahead of the requests before it.
 Test(wire, with_a_malformed_request_behind_others_answers_it_last) {
   fleet subject({.subnet = 236, .vms = 1, .start_targets = false});
--- a/src/proxy/internal/call_dispatcher.cc
+++ b/src/proxy/internal/call_dispatcher.cc
@@ -438,7 +438,7 @@
   response_parser& response = *attempt.response;
   const bool reusable = response.keep_alive();
   const bool uploads = attempt.upload != nullptr && !attempt.upload->IsComplete();
-  const bool keep_open = call.keep_alive && !draining_ && parser.is_done() && !uploads;
+  const bool keep_open = KeepsOpen(caller, call) && parser.is_done() && !uploads;
   response_message& message = response.get();
   RemoveRelayedFields(message, settings_.conventions);
   message.set(kRequestIdHeader, call.request_id);
@@ -545,17 +545,25 @@
   RecordRequest(call, response.status, response.outcome);
   if (call.permit && response.outcome == kOutcomeNotRun) call.permit->MarkNotRun();
   LogLocalResponse(call, response);
-  bool discarded = false;
-  if (!call.expects_continue && !stop_.AttemptsEnded()) {
+  bool discarded = parser.is_done();
+  if (!discarded && !call.expects_continue && !stop_.AttemptsEnded()) {
     discarded = co_await DiscardBody(caller.Caller(), parser, settings_.progress_timeout);
   }
   const bool has_turn = co_await caller.AwaitTurn(call.turn);
   if (!has_turn) co_return false;
   co_return co_await SendLocalResponse(
-      caller.Caller(), response, discarded && call.keep_alive && !draining_, call.is_head,
+      caller.Caller(), response, discarded && KeepsOpen(caller, call), call.is_head,
       settings_.progress_timeout, settings_.conventions.fractional_retry_after);
 }
 
+bool call_dispatcher::KeepsOpen(caller_session& caller, const call_state& call) const {
+  if (!call.keep_alive) return false;
+  if (!draining_) return true;
+  // Requests behind this one may be running; the response to the last one closes the connection.
+  caller.StopReading();
+  return caller.HasBehind(call.turn);
+}
+
 metrics::labels call_dispatcher::MetricLabels(const call_state& call) {
   if (call.matched_route == nullptr) return {{"service", "none"}};
   return {{"service", call.service},
--- a/src/proxy/internal/call_dispatcher.h
+++ b/src/proxy/internal/call_dispatcher.h
@@ -99,6 +99,9 @@
   /// Whether an attempt's response is the requested rest of the same entity.
   static bool IsContinuation(const attempt_result& attempt, const call_state& call);
 
+  /// Whether a response leaves the caller's connection open.
+  bool KeepsOpen(caller_session& caller, const call_state& call) const;
+
   static metrics::labels MetricLabels(const call_state& call);
 
   void CountMetric(const char* name, const call_state& call);
--- a/src/proxy/internal/entry/caller_session.h
+++ b/src/proxy/internal/entry/caller_session.h
@@ -23,6 +23,8 @@
   bool IsClosed() const { return order_.IsClosed(); }
   bool IsEmpty() const { return order_.IsEmpty(); }
 
+  bool HasBehind(response_order::ticket request) const { return order_.HasBehind(request); }
+
   response_order::ticket Add(std::size_t bytes) { return order_.Add(bytes); }
 
   /// Ends a request. If the connection is not kept open, all requests behind it are cancelled.
--- a/src/proxy/internal/entry/response_order.h
+++ b/src/proxy/internal/entry/response_order.h
@@ -29,6 +29,11 @@
   /// Whether all requests before this one are answered, and the connection stays open.
   bool IsTurn(ticket request) const;
 
+  /// Whether requests have been added behind this one that are not answered yet.
+  bool HasBehind(ticket request) const {
+    return !unanswered_.empty() && unanswered_.rbegin()->first > request;
+  }
+
   bool IsFinished(ticket request) const { return !unanswered_.contains(request); }
 
   /// Whether a further request may be read ahead.
--- a/src/proxy/tests/response_order_test.cc
+++ b/src/proxy/tests/response_order_test.cc
@@ -41,6 +41,18 @@
   }
 }
 
+// Guards against a stop that closes a connection in front of requests that run.
+Test(response_order, of_several_requests_knows_which_have_others_behind_them) {
+  response_order order(kMaxRequests, kMaxBytes);
+  const auto first = order.Add(1);
+  cr_assert_not(order.HasBehind(first));
+  const auto second = order.Add(1);
+  cr_assert(order.HasBehind(first));
+  cr_assert_not(order.HasBehind(second));
+  order.Finish(second, true);
+  cr_assert_not(order.HasBehind(first));
+}
+
 // Guards against a response, or a request that must not run, behind one that closed the connection.
 Test(response_order, behind_a_response_that_closes_gives_no_turn) {
   response_order order(kMaxRequests, kMaxBytes);
