Let a daemon that raised its incarnation answer for its earlier ones

A daemon that finds a record of itself with a later incarnation, left by a predecessor whose clock was ahead, raises its own incarnation above it. From then on its gate answered "unknown" to every query about the requests that it had taken before, and refused calls that entries sent by the former record as "other-incarnation", although the process and its ledger are the same: an entry could neither fence such a request nor learn that it runs.

self_record now keeps its former incarnations, and the gate takes calls and queries that name one of them. The incarnation of the predecessor stays foreign, as the ledger knows nothing of its requests.

The test needs the new interface, so there is no run of it on the code before.

--- a/src/distribution/self_record.h
+++ b/src/distribution/self_record.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
 #include <mutex>
+#include <vector>
 
 #include "membership/member.h"
 
@@ -26,6 +29,15 @@
     return record_;
   }
 
+  /// Whether an incarnation is or was that of this process. Requests that others sent to an earlier
+  /// one of its incarnations are still its own.
+  bool IsOwn(std::uint64_t incarnation) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return incarnation == record_.version.incarnation ||
+           std::find(former_incarnations_.begin(), former_incarnations_.end(), incarnation) !=
+               former_incarnations_.end();
+  }
+
   /// Refutes a version of this daemon's record that others announced. Returns true if the
   /// sequence had to be raised above it, so that the record must be spread.
   bool Refute(const member_version& announced) {
@@ -34,6 +46,7 @@
     // A later incarnation is that of a predecessor whose clock was ahead. Under the same one, this
     // daemon would answer for requests that the predecessor forwarded.
     if (announced.incarnation > record_.version.incarnation) {
+      former_incarnations_.push_back(record_.version.incarnation);
       record_.version.incarnation = announced.incarnation + 1;
     }
     record_.version.sequence = std::max(record_.version.sequence, announced.sequence) + 1;
@@ -43,6 +56,7 @@
  private:
   mutable std::mutex mutex_;
   member_record record_;
+  std::vector<std::uint64_t> former_incarnations_;
 };
 
 }  // namespace catkinmoor
--- a/src/distribution/tests/record_exchange_test.cc
+++ b/src/distribution/tests/record_exchange_test.cc
@@ -71,6 +71,19 @@
   cr_assert_not(subject.Refute({900, 9, member_state::kDead}));
 }
 
+// A daemon that had refuted a record of its predecessor refused requests, and denied knowledge of
+// those that it ran, which entries had sent to it before.
+Test(self_record, after_refuting_a_predecessor_owns_its_former_incarnations) {
+  member_record started = RecordOf("vm-1", 1);
+  started.version = {1'000, 1, member_state::kAlive};
+  catkinmoor::self_record subject(started);
+  cr_assert(subject.IsOwn(1'000));
+  cr_assert(subject.Refute({3'000, 7, member_state::kAlive}));
+  cr_assert(subject.Refute({5'000, 2, member_state::kSuspect}));
+  for (const std::uint64_t own : {1'000, 3'001, 5'001}) cr_assert(subject.IsOwn(own));
+  for (const std::uint64_t other : {999, 3'000, 5'000, 5'002}) cr_assert_not(subject.IsOwn(other));
+}
+
 Test(record_exchange, of_a_message_meant_for_another_vm_takes_nothing) {
   asio::io_context context;
   catkinmoor::memory_platform platform;
--- a/src/proxy/internal/gate_proxy.cc
+++ b/src/proxy/internal/gate_proxy.cc
@@ -130,7 +130,7 @@
   }
 
   request_fate Fence(const fence_request& message) {
-    if (message.incarnation != deps_.self.Get().version.incarnation) return request_fate::kUnknown;
+    if (!deps_.self.IsOwn(message.incarnation)) return request_fate::kUnknown;
     switch (deps_.ledger.Fence(message.request_id, message.except_waiting, Now())) {
       case ledger_fate::kNeverForwarded:
         return request_fate::kNeverForwarded;
@@ -202,7 +202,7 @@
   std::optional<local_response> CheckCall(const std::optional<gate_call>& call,
                                           const std::optional<current_target>& target) const {
     if (!call) return NotRunResponse(400, "malformed-call", "call headers missing or malformed");
-    if (call->incarnation != deps_.self.Get().version.incarnation) {
+    if (!deps_.self.IsOwn(call->incarnation)) {
       return NotRunResponse(503, "other-incarnation",
                             "the call was sent to another incarnation of this daemon");
     }
