Charge the head of a request by what its fields become

Cause: the byte budget charged 10 KB for the fields of any head. A field of four bytes becomes an allocation of 64 bytes, so that a head of 3,200 of them held about 205 KB. Heads that are read ahead of a response were not charged at all, only bounded by their bytes on the wire.

Change: the lines of received bytes are counted (head_size) and drawn before the parser is given them: twice the bytes and 64 bytes a line, for the copy that is made for a gate, or 10 KB if that is more. It is held until the request is answered. Requests are read ahead only while half of the bytes are free, up to 256 KB charged for a connection (before: 64 KB on the wire); otherwise in their turn.

--- a/src/proxy/byte_budget.h
+++ b/src/proxy/byte_budget.h
@@ -42,13 +42,17 @@
 
   /// Charged for a connection without a request: its socket, coroutine and smallest buffer.
   static constexpr std::int64_t kIdleBytes = 6 << 10;
-  /// Charged in addition while a connection has a request: parser, header fields and coroutines.
+  /// Charged in addition for each request of a connection, at least: parser, header fields and
+  /// coroutines.
   static constexpr std::int64_t kRequestBytes = 10 << 10;
   /// A holder of at most this much is small: it may use the reserve, so that requests with an
   /// ordinary head and little body are served while large bodies use up the rest.
   static constexpr std::int64_t kSmallHolderBytes = 32 << 10;
   /// Part of the bytes that only small holders may use.
   static constexpr std::int64_t kReserveDivisor = 4;
+  /// Part of the bytes up to which requests are read ahead. They may wait for as long as the one
+  /// before them is served, and are not turned away meanwhile.
+  static constexpr std::int64_t kAheadDivisor = 2;
   /// A holder that receives this many bytes per second does not fall behind.
   static constexpr std::int64_t kExpectedRate = 32 << 10;
   /// A holder that has fallen behind by less is not turned away; a round trip between regions and
@@ -73,6 +77,10 @@
   /// what it had, and the time until its next grant does not count as falling behind.
   bool TryHold(holder_id id, std::int64_t bytes, time_point now);
 
+  /// As TryHold, for a request that is read before the responses to earlier ones. A refusal is no
+  /// wait: the request is read in its turn.
+  bool TryHoldAhead(holder_id id, std::int64_t bytes, time_point now);
+
   /// The holders to turn away so that a holder that was refused can have this many bytes. Those
   /// selected are not selected again, and what they hold counts as soon to be free.
   std::vector<holder_id> SelectForBytes(holder_id asking, std::int64_t bytes, time_point now);
--- a/src/proxy/connection_budget.h
+++ b/src/proxy/connection_budget.h
@@ -28,6 +28,7 @@
   void SetPhase(byte_budget::holder_id id, holder_phase phase);
   void RecordProgress(byte_budget::holder_id id, std::int64_t bytes);
   bool TryHold(byte_budget::holder_id id, std::int64_t bytes);
+  bool TryHoldAhead(byte_budget::holder_id id, std::int64_t bytes);
   void Deselect(byte_budget::holder_id id);
 
   /// Turns connections away so that one that was refused can have this many bytes.
--- a/src/proxy/internal/budget_account.cc
+++ b/src/proxy/internal/budget_account.cc
@@ -55,6 +55,8 @@
     budget_->Deselect(state_->id);
   }
   if (phase == holder_phase::kIdle) {
+    request_bytes_ = 0;
+    unanswered_bytes_ = 0;
     buffer_bytes_ = 0;
     body_bytes_ = 0;
     block_bytes_ = 0;
@@ -67,6 +69,11 @@
   budget_->RecordProgress(state_->id, static_cast<std::int64_t>(bytes));
 }
 
+asio::awaitable<bool> budget_account::HoldRequest(std::size_t bytes) {
+  request_bytes_ = bytes;
+  co_return co_await Draw();
+}
+
 asio::awaitable<bool> budget_account::HoldBuffer(std::size_t bytes) {
   buffer_bytes_ = bytes;
   co_return co_await Draw();
@@ -98,6 +105,38 @@
   return false;
 }
 
+bool budget_account::TryHoldRequestAhead(std::size_t bytes) {
+  return TryHoldAhead(request_bytes_, bytes);
+}
+
+bool budget_account::TryHoldBufferAhead(std::size_t bytes) {
+  return TryHoldAhead(buffer_bytes_, bytes);
+}
+
+bool budget_account::TryHoldAhead(std::size_t& part, std::size_t bytes) {
+  if (state_->turned_away) return false;
+  const std::size_t before = part;
+  part = bytes;
+  const std::int64_t needed = Needed();
+  if (needed <= drawn_) return true;
+  if (budget_->TryHoldAhead(state_->id, needed)) {
+    drawn_ = needed;
+    return true;
+  }
+  part = before;
+  return false;
+}
+
+void budget_account::KeepRequest(std::size_t unanswered_bytes) {
+  request_bytes_ = 0;
+  unanswered_bytes_ = unanswered_bytes;
+}
+
+void budget_account::ReleaseAnswered(std::size_t unanswered_bytes) {
+  unanswered_bytes_ = unanswered_bytes;
+  GiveBack();
+}
+
 void budget_account::ReleaseBuffer() {
   buffer_bytes_ = 0;
   GiveBack();
@@ -114,9 +153,9 @@
 }
 
 std::int64_t budget_account::Needed() const {
-  const std::int64_t request =
-      state_->phase == holder_phase::kIdle ? 0 : byte_budget::kRequestBytes;
-  return byte_budget::kIdleBytes + request +
+  const auto requests = static_cast<std::int64_t>(request_bytes_ + unanswered_bytes_);
+  const bool is_idle = state_->phase == holder_phase::kIdle;
+  return byte_budget::kIdleBytes + (is_idle ? 0 : std::max(byte_budget::kRequestBytes, requests)) +
          RoundUp(static_cast<std::int64_t>(buffer_bytes_ + body_bytes_ + block_bytes_));
 }
 
--- a/src/proxy/internal/budget_account.h
+++ b/src/proxy/internal/budget_account.h
@@ -27,8 +27,9 @@
   void RecordProgress(std::size_t bytes);
 
   /// Each draws the bytes of what the connection is about to hold, and waits until the budget has
-  /// them: unparsed data, a body kept for retries, or a block of a streamed body. Returns false if
-  /// the connection is turned away.
+  /// them: the request whose head is being read, unparsed data, a body kept for retries, or a block
+  /// of a streamed body. Returns false if the connection is turned away.
+  boost::asio::awaitable<bool> HoldRequest(std::size_t bytes);
   boost::asio::awaitable<bool> HoldBuffer(std::size_t bytes);
   boost::asio::awaitable<bool> HoldBody(std::size_t bytes);
   boost::asio::awaitable<bool> HoldBlock(std::size_t bytes);
@@ -36,6 +37,17 @@
   /// Draws the bytes of a block if the budget has them now.
   bool TryHoldBlock(std::size_t bytes);
 
+  /// Each draws, if the budget has them now, the bytes of a request that is read before the
+  /// responses to earlier ones.
+  bool TryHoldRequestAhead(std::size_t bytes);
+  bool TryHoldBufferAhead(std::size_t bytes);
+
+  /// The request whose head was read is one of those that are unanswered, which hold this many
+  /// bytes together. Without a call of this, it is held until the connection is idle.
+  void KeepRequest(std::size_t unanswered_bytes);
+  /// Gives back what is drawn for unanswered requests beyond this many bytes.
+  void ReleaseAnswered(std::size_t unanswered_bytes);
+
   /// Each gives back all that was drawn for it.
   void ReleaseBuffer();
   void ReleaseBody();
@@ -52,6 +64,7 @@
 
   static void TurnAway(state& account);
   std::int64_t Needed() const;
+  bool TryHoldAhead(std::size_t& part, std::size_t bytes);
   boost::asio::awaitable<bool> Draw();
   void GiveBack();
 
@@ -59,6 +72,8 @@
   std::shared_ptr<state> state_;
   boost::asio::steady_timer timer_;
   std::int64_t drawn_ = byte_budget::kIdleBytes;
+  std::size_t request_bytes_ = 0;
+  std::size_t unanswered_bytes_ = 0;
   std::size_t buffer_bytes_ = 0;
   std::size_t body_bytes_ = 0;
   std::size_t block_bytes_ = 0;
--- a/src/proxy/internal/byte_budget.cc
+++ b/src/proxy/internal/byte_budget.cc
@@ -91,6 +91,13 @@
   return true;
 }
 
+bool byte_budget::TryHoldAhead(holder_id id, std::int64_t bytes, time_point now) {
+  const std::int64_t more = bytes - holders_.at(id).bytes;
+  const bool bounded = limits_.bytes > 0 && more > 0;
+  if (bounded && used_ + more > limits_.bytes / kAheadDivisor) return false;
+  return TryHold(id, bytes, now);
+}
+
 std::vector<byte_budget::holder_id> byte_budget::SelectForBytes(holder_id asking,
                                                                 std::int64_t bytes,
                                                                 time_point now) {
--- a/src/proxy/internal/connection_budget.cc
+++ b/src/proxy/internal/connection_budget.cc
@@ -59,6 +59,11 @@
   return budget_.TryHold(id, bytes, Now());
 }
 
+bool connection_budget::TryHoldAhead(byte_budget::holder_id id, std::int64_t bytes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return budget_.TryHoldAhead(id, bytes, Now());
+}
+
 void connection_budget::Deselect(byte_budget::holder_id id) {
   const std::lock_guard<std::mutex> lock(mutex_);
   budget_.Deselect(id);
--- a/src/proxy/internal/entry/caller_session.cc
+++ b/src/proxy/internal/entry/caller_session.cc
@@ -3,16 +3,22 @@
 #include <algorithm>
 #include <string_view>
 
+#include "proxy/internal/wire/head_size.h"
+
 namespace catkinmoor::proxy_internal {
 namespace {
 
 // Requests of one connection that may be unanswered at a time. Callers that send ahead send a few.
 constexpr std::size_t kMaxUnanswered = 16;
-// Bytes of heads held for the unanswered requests of one connection, beyond which no further one is
-// read.
-constexpr std::size_t kMaxHeldBytes = 64U << 10U;
+// Bytes charged for the unanswered requests of one connection, beyond which no further one is read.
+constexpr std::size_t kMaxHeldBytes = 256U << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
+std::string_view Unparsed(const connection& from) {
+  const auto held = from.buffer.cdata();
+  return {static_cast<const char*>(held.data()), held.size()};
+}
+
 }  // namespace
 
 caller_session::caller_session(connection_ptr caller, std::size_t max_head_bytes)
@@ -21,9 +27,16 @@
       order_(kMaxUnanswered, kMaxHeldBytes),
       changed_(caller_->stream.get_executor(), time_point::max()) {}
 
+response_order::ticket caller_session::Add(std::size_t bytes) {
+  const response_order::ticket added = order_.Add(bytes);
+  if (caller_->account != nullptr) caller_->account->KeepRequest(order_.Bytes());
+  return added;
+}
+
 void caller_session::Finish(response_order::ticket finished, bool keep_open) {
   const bool closes = !keep_open && !order_.IsClosed();
   order_.Finish(finished, keep_open);
+  if (caller_->account != nullptr) caller_->account->ReleaseAnswered(order_.Bytes());
   if (closes) Close();
   Notify();
 }
@@ -51,11 +64,8 @@
 asio::awaitable<void> caller_session::AwaitNextRequest() {
   while (!order_.IsClosed() && !order_.IsEmpty()) {
     const bool has_next = reads_ahead_ && order_.HasRoom() && HasBufferedHead();
-    if (has_next) co_return;
-    if (readable_ && MayReadAhead()) {
-      ReadAhead();
-      continue;
-    }
+    if (has_next && TryHoldNextRequest()) co_return;
+    if (readable_ && MayReadAhead() && ReadAhead()) continue;
     Watch();
     co_await changed_.async_wait(kAwait);
   }
@@ -66,21 +76,31 @@
 }
 
 bool caller_session::HasBufferedHead() const {
-  const auto held = caller_->buffer.cdata();
-  const std::string_view bytes(static_cast<const char*>(held.data()), held.size());
-  return bytes.find(kHeadEnd) != std::string_view::npos;
+  return Unparsed(*caller_).find(kHeadEnd) != std::string_view::npos;
 }
 
-void caller_session::ReadAhead() {
-  readable_ = false;
+bool caller_session::TryHoldNextRequest() {
+  if (caller_->account == nullptr) return true;
+  return caller_->account->TryHoldRequestAhead(RequestBytes(MeasureHead(Unparsed(*caller_))));
+}
+
+bool caller_session::ReadAhead() {
   beast::error_code failed;
   auto& socket = caller_->stream.socket();
   const std::size_t available = socket.available(failed);
-  const std::size_t room = max_head_bytes_ - caller_->buffer.size();
-  if (failed || available == 0) return;
-  const std::size_t count =
-      socket.read_some(caller_->buffer.prepare(std::min(available, room)), failed);
-  caller_->buffer.commit(count);
+  if (failed || available == 0) {
+    readable_ = false;
+    return true;
+  }
+  beast::flat_buffer& buffer = caller_->buffer;
+  const std::size_t room = std::min(available, max_head_bytes_ - buffer.size());
+  const bool grows = buffer.size() + room > buffer.capacity();
+  const std::size_t held = grows ? 2 * buffer.size() + room : buffer.capacity();
+  if (caller_->account != nullptr && !caller_->account->TryHoldBufferAhead(held)) return false;
+  readable_ = false;
+  const std::size_t count = socket.read_some(buffer.prepare(room), failed);
+  buffer.commit(count);
+  return true;
 }
 
 void caller_session::Watch() {
--- a/src/proxy/internal/entry/caller_session.h
+++ b/src/proxy/internal/entry/caller_session.h
@@ -25,7 +25,8 @@
 
   bool HasBehind(response_order::ticket request) const { return order_.HasBehind(request); }
 
-  response_order::ticket Add(std::size_t bytes) { return order_.Add(bytes); }
+  /// Adds a request that has been read, with the bytes that it is charged.
+  response_order::ticket Add(std::size_t bytes);
 
   /// Ends a request. If the connection is not kept open, all requests behind it are cancelled.
   void Finish(response_order::ticket finished, bool keep_open);
@@ -41,7 +42,8 @@
   asio::awaitable<void> AwaitEmpty();
 
   /// Waits until all requests are answered, the connection is closed, or the head of a further
-  /// request has been received whole and there is room for it. Detects that the caller leaves.
+  /// request has been received whole, there is room for it and the budget has its bytes. Detects
+  /// that the caller leaves.
   asio::awaitable<void> AwaitNextRequest();
 
   /// Nothing more is read: the caller has announced its last request.
@@ -64,7 +66,9 @@
   void Notify() { changed_.cancel(); }
   bool MayReadAhead() const;
   bool HasBufferedHead() const;
-  void ReadAhead();
+  bool TryHoldNextRequest();
+  /// Returns false, and reads nothing, if the budget has no room for more bytes.
+  bool ReadAhead();
 
   connection_ptr caller_;
   std::size_t max_head_bytes_;
--- a/src/proxy/internal/entry/response_order.h
+++ b/src/proxy/internal/entry/response_order.h
@@ -41,6 +41,9 @@
     return !closed_ && unanswered_.size() < max_requests_ && bytes_ < max_bytes_;
   }
 
+  /// What is held for all requests that are not answered yet.
+  std::size_t Bytes() const { return bytes_; }
+
   bool IsEmpty() const { return unanswered_.empty(); }
   bool IsClosed() const { return closed_; }
 
--- a/src/proxy/internal/entry_proxy.cc
+++ b/src/proxy/internal/entry_proxy.cc
@@ -222,7 +222,7 @@
     request->counted.emplace(active_);
     if (!is_idle) deps_.metrics.IncrementCounter("catkinmoor_entry_pipelined_total");
     request->refusal = Prepare(request->parser, kind, request->call, worker.random);
-    request->call.turn = caller->Add(HeadBytes(request->parser.get()));
+    request->call.turn = caller->Add(read.request_bytes);
     if (!request->call.keep_alive) caller->StopReading();
     if (!request->parser.is_done()) {
       // A body can be read, and its "100 Continue" be sent, only once all before are answered.
@@ -247,12 +247,6 @@
     co_return true;
   }
 
-  static std::size_t HeadBytes(const request_message& message) {
-    std::size_t bytes = message.target().size();
-    for (const auto& field : message) bytes += field.name_string().size() + field.value().size();
-    return bytes;
-  }
-
   /// Runs a request whose head, and short body, have been read.
   static asio::awaitable<void> Run(std::shared_ptr<impl> self, entry_worker_state* worker,
                                    std::shared_ptr<caller_session> caller,
--- a/src/proxy/internal/http_stream.cc
+++ b/src/proxy/internal/http_stream.cc
@@ -11,6 +11,7 @@
 
 #include "framework/http/response_head.h"
 #include "proxy/internal/call_headers.h"
+#include "proxy/internal/wire/head_size.h"
 #include "proxy/internal/wire/message_fields.h"
 
 namespace catkinmoor::proxy_internal {
@@ -193,6 +194,11 @@
   }
 }
 
+std::string_view Unparsed(const connection& from) {
+  const auto held = from.buffer.cdata();
+  return {static_cast<const char*>(held.data()), held.size()};
+}
+
 bool IsTurnedAway(const connection& from) {
   return from.account != nullptr && from.account->IsTurnedAway();
 }
@@ -345,10 +351,19 @@
   }
   const time_point header_deadline = Now() + settings.header_timeout;
   beast::error_code failed = bhttp::error::need_more;
+  head_size parsed;
   while (!failed || failed == bhttp::error::need_more) {
     if (from.buffer.size() > 0) {
+      head_size received = parsed;
+      received += MeasureHead(Unparsed(from));
+      if (from.account != nullptr) {
+        const bool drawn = co_await from.account->HoldRequest(RequestBytes(received));
+        if (!drawn) break;
+      }
       failed = {};
-      from.buffer.consume(parser.put(from.buffer.data(), failed));
+      const std::size_t count = parser.put(from.buffer.cdata(), failed);
+      parsed += MeasureHead(Unparsed(from).substr(0, count));
+      from.buffer.consume(count);
       if (!failed || failed != bhttp::error::need_more) break;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(header_deadline - Now());
@@ -356,7 +371,7 @@
   }
   if (!failed) {
     SetPhase(from, holder_phase::kServing);
-    co_return read_result{read_outcome::kRequest, {}};
+    co_return read_result{read_outcome::kRequest, {}, RequestBytes(parsed)};
   }
   if (IsTurnedAway(from)) co_return read_result{read_outcome::kMalformed, TurnedAwayResponse()};
   if (failed == beast::error::timeout) {
--- a/src/proxy/internal/http_stream.h
+++ b/src/proxy/internal/http_stream.h
@@ -81,6 +81,8 @@
 struct read_result {
   read_outcome outcome = read_outcome::kDisconnected;
   local_response response;
+  /// What the request is charged by its head.
+  std::size_t request_bytes = 0;
 };
 asio::awaitable<read_result> ReadRequestHeader(connection& from, request_parser& parser,
                                                const proxy_settings& settings,
--- a/src/proxy/tests/byte_budget_test.cc
+++ b/src/proxy/tests/byte_budget_test.cc
@@ -84,6 +84,20 @@
   cr_assert(!budget.TryHold(large, byte_budget::kSmallHolderBytes + 1, kStart));
 }
 
+// Load: requests that are sent ahead behind one that takes long. They are not turned away while it
+// is served, so they must not use up what other callers need.
+Test(byte_budget, half_in_use_grants_nothing_for_reading_ahead) {
+  byte_budget budget({8 * kMegabyte, 0});
+  const holder_id ahead = budget.Open(holder_kind::kCaller, kStart);
+  cr_assert(budget.TryHoldAhead(ahead, 3 * kMegabyte, kStart));
+  cr_assert(!budget.TryHoldAhead(ahead, 5 * kMegabyte, kStart));
+  cr_assert_eq(budget.UsedBytes(), 3 * kMegabyte);
+  cr_assert(budget.TryHoldAhead(ahead, 2 * kMegabyte, kStart));
+  const holder_id asking = budget.Open(holder_kind::kCaller, kStart);
+  cr_assert(budget.TryHold(asking, 3 * kMegabyte, kStart));
+  cr_assert(!budget.TryHoldAhead(ahead, 2 * kMegabyte + 1, kStart));
+}
+
 // Load: bodies that stopped short of their end, beside one that still arrives at an ordinary rate.
 Test(byte_budget, with_stopped_and_arriving_bodies_turns_the_stopped_ones_away) {
   byte_budget budget({4 * kMegabyte, 0});
