Find a gauge on the first line of the metrics page in crowd_test

The check looked for a line break before the gauge's name, and catkinmoor_budget_limit_bytes comes first on the page when it is there, so that the test failed whatever the daemon did. The page is searched with a line break before it; the rest of the check is as it was. On the code without default limits the test fails as before (run: "no limit: catkinmoor_budget_limit_bytes").

--- a/src/process_tests/tests/crowd_test.cc
+++ b/src/process_tests/tests/crowd_test.cc
@@ -288,7 +288,7 @@
   fleet subject({.subnet = 68, .vms = 1});
   const std::string address = subject.Addresses().front();
   subject.Start();
-  const std::string metrics = subject.SendToAdministration(address, "GET", "/metrics").body;
+  const std::string metrics = "\n" + subject.SendToAdministration(address, "GET", "/metrics").body;
   for (const std::string name :
        {"catkinmoor_budget_limit_bytes", "catkinmoor_caller_connections_limit"}) {
     const auto found = metrics.find("\n" + name + " ");
