Limit callers without memory_mb and max_descriptors by what the process may use

Cause: a daemon whose settings name neither had no byte budget and no limit of callers' connections.

Limits that are set hold as before. The client for the store keeps its own default.

--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -31,7 +31,7 @@
   milliseconds platform_timeout{2'000};
   std::vector<std::string> seed_peers;
   std::int64_t workers = 2;
-  /// Memory and descriptors that the process may use; 0 for no limit.
+  /// Memory and descriptors that the process may use; 0 for the limits that it finds itself under.
   std::int64_t memory_mb = 0;
   std::int64_t max_descriptors = 0;
   milliseconds target_lease{3'000};
--- a/src/daemon/internal/daemon.cc
+++ b/src/daemon/internal/daemon.cc
@@ -15,6 +15,7 @@
 #include <random>
 
 #include "administration/administration_service.h"
+#include "daemon/process_limits.h"
 #include "daemon/stop_schedule.h"
 #include "daemon/target_registration.h"
 #include "distribution/join_controller.h"
@@ -71,6 +72,14 @@
   return seeds;
 }
 
+/// What callers may take up, by the settings or else by what the process may use.
+budget_limits CallerLimits(const daemon_settings& settings) {
+  const std::int64_t memory_mb = settings.memory_mb > 0 ? settings.memory_mb : MemoryLimitMb();
+  const std::int64_t descriptors =
+      settings.max_descriptors > 0 ? settings.max_descriptors : RaiseDescriptorLimit();
+  return LimitsOfProcess(memory_mb, descriptors);
+}
+
 proxy_settings MakeProxySettings(const daemon_settings& settings) {
   proxy_settings proxy = settings.proxy;
   proxy.translation = address_translation(settings.translation_rules);
@@ -551,8 +560,8 @@
   key_proof_controller key_proof_;
   status_controller status_;
   quota_controller quotas_;
-  std::shared_ptr<connection_budget> connection_budget_ = std::make_shared<connection_budget>(
-      LimitsOfProcess(settings_.memory_mb, settings_.max_descriptors), metrics_);
+  std::shared_ptr<connection_budget> connection_budget_ =
+      std::make_shared<connection_budget>(CallerLimits(settings_), metrics_);
   worker_pool workers_;
   entry_proxy entry_;
   gate_proxy gate_;
--- a/src/daemon/internal/daemon_settings.cc
+++ b/src/daemon/internal/daemon_settings.cc
@@ -200,11 +200,12 @@
     {"workers", &s::workers, "Number of threads that process requests.", false, 1, kMaxWorkers},
     {"memory_mb", &s::memory_mb,
      "Memory that the process may use, in megabytes, from which the byte budget for callers is "
-     "computed; 0 for no limit.",
+     "computed; 0 for the limit of its control group, or the memory of the machine if that is "
+     "less.",
      false, 0, kMaxMemoryMb},
     {"max_descriptors", &s::max_descriptors,
      "Descriptors that the process may use, from which the limit of callers' connections is "
-     "computed; 0 for no limit.",
+     "computed; 0 for its hard limit of open files, to which the soft one is raised.",
      false, 0, kMaxDescriptors},
     {"target_lease_ms", &s::target_lease, "Time without a report after which a target is removed.",
      false, 100, kMaxTimeMs},
