Destroy the context with the gate's timers after those of the other workers

A daemon whose stop ends while connections of entries to its gate are open could read freed memory at its very end: the coroutine of such a connection in another worker's context held the last reference to the gate, whose slot controller has a timer of the first context, which had been destroyed before.

--- a/src/proxy/internal/worker_pool.cc
+++ b/src/proxy/internal/worker_pool.cc
@@ -11,7 +11,12 @@
   }
 }
 
-worker_pool::~worker_pool() { Stop(); }
+worker_pool::~worker_pool() {
+  Stop();
+  // Coroutines of any context may hold the last reference to objects with timers of the first one,
+  // so it is destroyed last.
+  while (!workers_.empty()) workers_.pop_back();
+}
 
 void worker_pool::Stop() {
   for (auto& each : workers_) each->context.stop();
